--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Targets for users (demo, test) and for developers (the rest).
+
+SHELL := /bin/bash
+MODULES := client cmd/auburnrelay core node platform standin wire
+BUILD := $(CURDIR)/build
+TOOLBIN := $(CURDIR)/.bin
+
+GOLANGCI_LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF := github.com/bufbuild/buf/cmd/buf@v1.75.0
+PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+PROTOC_GEN_GO_GRPC := google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2
+
+.PHONY: demo test build tools generate check-generated format check-format lint tidy check-tidy clean
+
+# Builds everything and runs the demonstration as separate processes.
+demo: build
+	$(BUILD)/demo --bin $(BUILD)
+
+# Runs every test of every module.
+test:
+	@set -e; for m in $(MODULES); do (cd $$m && go test ./...); done
+
+build:
+	@mkdir -p $(BUILD)
+	@cd cmd/auburnrelay && go build -o $(BUILD)/auburnrelay .
+	@cd standin && go build -o $(BUILD)/ ./cmd/...
+
+# Installs the pinned developer tools into .bin.
+tools:
+	@GOWORK=off GOBIN=$(TOOLBIN) go install $(GOLANGCI_LINT)
+	@GOWORK=off GOBIN=$(TOOLBIN) go install $(BUF)
+	@GOWORK=off GOBIN=$(TOOLBIN) go install $(PROTOC_GEN_GO)
+	@GOWORK=off GOBIN=$(TOOLBIN) go install $(PROTOC_GEN_GO_GRPC)
+
+# Regenerates the wire code from the .proto files.
+generate:
+	@cd wire && PATH=$(TOOLBIN):$$PATH buf generate
+
+check-generated: generate
+	@test -z "$$(git status --porcelain -- wire)" || { git status --porcelain -- wire; echo "generated code differs from what is committed"; exit 1; }
+
+format:
+	@gofmt -w $(MODULES)
+
+check-format:
+	@out="$$(gofmt -l $(MODULES))"; test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
+
+lint:
+	@set -e; for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(TOOLBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...); done
+	@cd wire && PATH=$(TOOLBIN):$$PATH buf lint
+
+tidy:
+	@set -e; for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy); done
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/cmd/auburnrelay/main.go
@@ -0,0 +1,4 @@
+// Command auburnrelay is the node daemon and the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/cmd/demo/main.go
@@ -0,0 +1,4 @@
+// Command demo runs the whole system on this machine as separate processes.
+package main
+
+func main() {}
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire is the root of the generated protocol between the system's processes.
+package wire
