--- /dev/null
+++ b/node/entry/http.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// readHeaderTimeout bounds the time a caller takes to send its header.
+const readHeaderTimeout = 5 * time.Second
+
+// Handler is the callers' HTTP interface.
+type Handler struct {
+	dispatcher *Dispatcher
+	limits     Limits
+	log        *slog.Logger
+}
+
+// NewHandler returns the interface over a dispatcher.
+func NewHandler(dispatcher *Dispatcher, limits Limits, log *slog.Logger) *Handler {
+	return &Handler{dispatcher: dispatcher, limits: limits, log: log}
+}
+
+// NewServer returns an HTTP server for callers with at most headerBytes of header.
+func (h *Handler) NewServer(headerBytes int) *http.Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.Any(PathPrefix+"*", h.handle)
+	e.HTTPErrorHandler = unknownPath
+	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: headerBytes}
+}
+
+func unknownPath(_ error, c echo.Context) {
+	answer := &httpAnswer{w: c.Response()}
+	answer.refuse(http.StatusNotFound, plane.Result{Outcome: outcome.NotRun, Reason: reasonBadRequest}, ErrBadPath.Error())
+}
+
+// reasonBadRequest goes with requests that break the interface.
+const reasonBadRequest outcome.Reason = "bad-request"
+
+func (h *Handler) handle(c echo.Context) error {
+	answer := &httpAnswer{w: c.Response()}
+	request, err := readRequest(c.Request(), h.limits, time.Now())
+	if err != nil {
+		h.log.Info("request refused", "path", c.Request().URL.Path, "reason", err.Error())
+		answer.refuse(badRequestStatus(err), plane.Result{Outcome: outcome.NotRun, Reason: reasonBadRequest}, err.Error())
+		return nil
+	}
+	result, err := h.dispatcher.Do(c.Request().Context(), request, answer)
+	if err != nil {
+		answer.refuse(badRequestStatus(err), result, err.Error())
+		return nil
+	}
+	answer.finish(result)
+	return nil
+}
+
+func badRequestStatus(err error) int {
+	switch {
+	case errors.IsAny(err, keyspace.ErrUnknownService, keyspace.ErrNoRange):
+		return http.StatusNotFound
+	case errors.IsAny(err, ErrBodyTooLarge, ErrKeyTooLong):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusBadRequest
+	}
+}
--- /dev/null
+++ b/node/entry/request.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// Names of the header fields of the callers' interface.
+const (
+	HeaderRequestID = "Auburnrelay-Request-Id"
+	HeaderDeadline  = "Auburnrelay-Deadline-Ms"
+	HeaderOutcome   = "Auburnrelay-Outcome"
+	HeaderReason    = "Auburnrelay-Reason"
+	HeaderOwner     = "Auburnrelay-Owner"
+	HeaderTarget    = "Auburnrelay-Target"
+	HeaderFence     = "Auburnrelay-Fence"
+	headerPrefix    = "Auburnrelay-"
+)
+
+// PathPrefix starts the path of every caller's request.
+const PathPrefix = "/v1/"
+
+var (
+	// ErrBadPath reports a path that is not /v1/SERVICE/KEY[/REST].
+	ErrBadPath = errors.New("path is not /v1/SERVICE/KEY[/REST]")
+	// ErrBadRequestID reports a request id that is missing or not a ULID.
+	ErrBadRequestID = errors.New("request id is not a ULID")
+	// ErrBadDeadline reports a deadline that is not a positive number of milliseconds.
+	ErrBadDeadline = errors.New("deadline is not a positive number of milliseconds")
+	// ErrKeyTooLong reports a key above the limit.
+	ErrKeyTooLong = errors.New("key too long")
+	// ErrBodyTooLarge reports a body above the limit.
+	ErrBodyTooLarge = errors.New("body too large")
+	// ErrBodyCut reports a body that ended before its announced length.
+	ErrBodyCut = errors.New("body cut before its end")
+)
+
+// Limits bounds callers' requests.
+type Limits struct {
+	// KeyBytes is the longest key.
+	KeyBytes int
+	// BodyBytes is the largest body.
+	BodyBytes int64
+	// DefaultDeadline is used when the caller names none.
+	DefaultDeadline time.Duration
+	// MaxDeadline is the longest time that a caller may wait.
+	MaxDeadline time.Duration
+}
+
+// readRequest reads and checks a caller's request with its whole body.
+func readRequest(h *http.Request, limits Limits, now time.Time) (*plane.Request, error) {
+	r := &plane.Request{Method: h.Method, Query: h.URL.RawQuery, NonIdempotent: !safeMethod(h.Method)}
+	if err := readPath(r, h.URL.EscapedPath(), limits); err != nil {
+		return nil, err
+	}
+	if err := readID(r, h.Header.Get(HeaderRequestID)); err != nil {
+		return nil, err
+	}
+	if err := readDeadline(r, h.Header.Get(HeaderDeadline), limits, now); err != nil {
+		return nil, err
+	}
+	r.Headers = passedHeaders(h.Header)
+	return r, readBody(r, h, limits)
+}
+
+func readPath(r *plane.Request, escaped string, limits Limits) error {
+	service, rest, ok := strings.Cut(strings.TrimPrefix(escaped, PathPrefix), "/")
+	key, path, hasPath := strings.Cut(rest, "/")
+	if !ok || service == "" || key == "" {
+		return errors.Wrapf(ErrBadPath, "path %q", escaped)
+	}
+	var err error
+	if r.Service, err = url.PathUnescape(service); err != nil {
+		return errors.Wrapf(ErrBadPath, "service %q", service)
+	}
+	if r.Key, err = url.PathUnescape(key); err != nil {
+		return errors.Wrapf(ErrBadPath, "key %q", key)
+	}
+	if len(r.Key) > limits.KeyBytes {
+		return errors.Wrapf(ErrKeyTooLong, "%d bytes, at most %d", len(r.Key), limits.KeyBytes)
+	}
+	if hasPath {
+		r.Path = "/" + path
+	}
+	return nil
+}
+
+func readID(r *plane.Request, text string) error {
+	if text == "" && !r.NonIdempotent {
+		return nil
+	}
+	id, err := ulid.ParseStrict(text)
+	if err != nil || id == (ulid.ULID{}) {
+		return errors.Wrapf(ErrBadRequestID, "%s %q", HeaderRequestID, text)
+	}
+	r.ID = id
+	return nil
+}
+
+func readDeadline(r *plane.Request, text string, limits Limits, now time.Time) error {
+	if text == "" {
+		r.Deadline = now.Add(limits.DefaultDeadline)
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms <= 0 {
+		return errors.Wrapf(ErrBadDeadline, "%s %q", HeaderDeadline, text)
+	}
+	wait := limits.MaxDeadline
+	if ms < limits.MaxDeadline.Milliseconds() {
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	r.Deadline = now.Add(wait)
+	return nil
+}
+
+func readBody(r *plane.Request, h *http.Request, limits Limits) error {
+	if h.ContentLength > limits.BodyBytes {
+		return errors.Wrapf(ErrBodyTooLarge, "%d bytes, at most %d", h.ContentLength, limits.BodyBytes)
+	}
+	if h.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(h.Body, limits.BodyBytes+1))
+	if err != nil {
+		return errors.Wrapf(ErrBodyCut, "after %d bytes: %v", len(body), err)
+	}
+	if int64(len(body)) > limits.BodyBytes {
+		return errors.Wrapf(ErrBodyTooLarge, "more than %d bytes", limits.BodyBytes)
+	}
+	r.Body = body
+	return nil
+}
+
+func safeMethod(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// passedHeaders returns the end-to-end fields of a request, without the system's own.
+func passedHeaders(fields http.Header) []plane.Header {
+	var out []plane.Header
+	dropped := connectionFields(fields)
+	for name, values := range fields {
+		if hopByHop(name) || dropped[name] || strings.HasPrefix(name, headerPrefix) {
+			continue
+		}
+		for _, value := range values {
+			out = append(out, plane.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+// connectionFields returns the names that the Connection field marks as hop-by-hop.
+func connectionFields(fields http.Header) map[string]bool {
+	marked := map[string]bool{}
+	for _, value := range fields["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			marked[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return marked
+}
+
+// hopByHop tells whether a field concerns one connection only (RFC 9110, section 7.6.1).
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host":
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/node/forward/client.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+	relayv1 "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
+)
+
+// ChunkBytes is the largest piece of a body in one frame, and the largest body that travels
+// in the first frame.
+const ChunkBytes = 32 << 10
+
+// Client sends requests to other nodes.
+type Client struct {
+	cluster string
+	pool    *Pool
+}
+
+// NewClient returns a client of the named cluster.
+func NewClient(cluster string, pool *Pool) *Client {
+	return &Client{cluster: cluster, pool: pool}
+}
+
+// Reply is how a forwarded request ended: with a result, or with a redirect that proves that
+// it did not run.
+type Reply struct {
+	Result plane.Result
+	// Redirect is the owner that the peer named, nil for none.
+	Redirect *plane.Peer
+	// Started tells that a part of the answer reached the sink.
+	Started bool
+}
+
+// Forward sends the request to the peer and its answer to the sink. A hop count of one tells
+// the peer that the request was redirected before.
+func (c *Client) Forward(ctx context.Context, to plane.Peer, hops uint32, r *plane.Request, sink plane.Sink) Reply {
+	conn, release, err := c.pool.Acquire(to.Address)
+	if err != nil {
+		return notRun(outcome.ReasonPeerUnreachable)
+	}
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	stream, err := relayv1.NewRelayServiceClient(conn).Forward(ctx)
+	if err != nil {
+		return notRun(unsentReason(ctx))
+	}
+	call := &call{ctx: ctx, stream: stream, request: r, sink: sink}
+	call.send(toWireHead(c.cluster, to, hops, r))
+	return call.receive()
+}
+
+// unsentReason tells why a request never left this node whole.
+func unsentReason(ctx context.Context) outcome.Reason {
+	reason := lostReason(ctx)
+	if reason == outcome.ReasonPeerLost {
+		return outcome.ReasonPeerUnreachable
+	}
+	return reason
+}
+
+func notRun(reason outcome.Reason) Reply {
+	return Reply{Result: plane.Result{Outcome: outcome.NotRun, Reason: reason}}
+}
+
+// call is one forwarded request on its stream.
+type call struct {
+	ctx     context.Context
+	stream  grpc.BidiStreamingClient[relayv1.ForwardRequest, relayv1.ForwardResponse]
+	request *plane.Request
+	sink    plane.Sink
+	// whole tells that the frame that ends the request may have left. Until then the peer
+	// cannot have started it.
+	whole   bool
+	started bool
+	bytes   uint64
+}
+
+// send writes the request. A peer may answer before it has read the whole body, so a failed
+// send ends the writing and leaves the verdict to receive.
+func (c *call) send(head *relayv1.RequestHead) {
+	body := c.request.Body
+	if len(body) <= ChunkBytes {
+		head.Body = body
+		head.Whole = true
+		c.whole = true
+	}
+	err := c.stream.Send(&relayv1.ForwardRequest{Frame: &relayv1.ForwardRequest_Head{Head: head}})
+	if err == nil && !head.Whole {
+		c.sendBody(body)
+	}
+	_ = c.stream.CloseSend()
+}
+
+func (c *call) sendBody(body []byte) {
+	for len(body) > 0 {
+		n := min(len(body), ChunkBytes)
+		err := c.stream.Send(&relayv1.ForwardRequest{Frame: &relayv1.ForwardRequest_Chunk{Chunk: body[:n]}})
+		if err != nil {
+			return
+		}
+		body = body[n:]
+	}
+	// The last frame may leave although its sending fails.
+	c.whole = true
+	end := &relayv1.RequestEnd{BodyBytes: uint64(len(c.request.Body))}
+	_ = c.stream.Send(&relayv1.ForwardRequest{Frame: &relayv1.ForwardRequest_End{End: end}})
+}
+
+func (c *call) receive() Reply {
+	for {
+		frame, err := c.stream.Recv()
+		if err != nil {
+			return c.lost()
+		}
+		reply, done := c.take(frame)
+		if done {
+			return reply
+		}
+	}
+}
+
+// take handles one frame; done tells that the request has ended.
+func (c *call) take(frame *relayv1.ForwardResponse) (Reply, bool) {
+	switch f := frame.GetFrame().(type) {
+	case *relayv1.ForwardResponse_Redirect:
+		if c.started {
+			return c.lost(), true
+		}
+		return redirected(f.Redirect), true
+	case *relayv1.ForwardResponse_Head:
+		return c.takeHead(f.Head)
+	case *relayv1.ForwardResponse_Chunk:
+		return c.takeChunk(f.Chunk)
+	case *relayv1.ForwardResponse_End:
+		return c.takeEnd(f.End), true
+	default:
+		return c.lost(), true
+	}
+}
+
+func (c *call) takeHead(h *relayv1.ResponseHead) (Reply, bool) {
+	if c.started || h.GetAttempt() != c.request.Attempt {
+		return c.lost(), true
+	}
+	ran, err := parseFence(h.GetFence())
+	if err != nil {
+		return c.lost(), true
+	}
+	if end := h.GetEnd(); end != nil && fromWireOutcome(end.GetOutcome()) != outcome.Answered {
+		// Cut before the caller saw any of it: the refusal is clearer than a broken answer.
+		return c.takeEnd(end), true
+	}
+	c.started = true
+	head := plane.Head{
+		Status:  int(h.GetStatus()),
+		Headers: fromWireHeaders(h.GetHeaders()),
+		Target:  h.GetTarget(),
+		Fence:   ran,
+		Length:  -1,
+	}
+	if h.GetEnd() != nil {
+		head.Length = int64(len(h.GetBody()))
+	}
+	if c.sink.Head(head) != nil {
+		return c.callerGone(), true
+	}
+	if len(h.GetBody()) > 0 {
+		if reply, done := c.takeChunk(h.GetBody()); done {
+			return reply, true
+		}
+	}
+	if h.GetEnd() != nil {
+		return c.takeEnd(h.GetEnd()), true
+	}
+	return Reply{}, false
+}
+
+func (c *call) takeChunk(chunk []byte) (Reply, bool) {
+	if !c.started {
+		return c.lost(), true
+	}
+	c.bytes += uint64(len(chunk))
+	if c.sink.Write(chunk) != nil {
+		return c.callerGone(), true
+	}
+	return Reply{}, false
+}
+
+func (c *call) takeEnd(end *relayv1.ResponseEnd) Reply {
+	result := fromWireEnd(end)
+	crossed := end.GetAttempt() != c.request.Attempt
+	cut := result.Outcome == outcome.Answered && (!c.started || result.BodyBytes != c.bytes)
+	impossible := result.Outcome == outcome.NotRun && c.started
+	if crossed || cut || impossible {
+		return c.lost()
+	}
+	return Reply{Result: result, Started: c.started}
+}
+
+func (c *call) lost() Reply {
+	if !c.whole {
+		return notRun(unsentReason(c.ctx))
+	}
+	reason := lostReason(c.ctx)
+	if c.started {
+		reason = outcome.ReasonTruncated
+	}
+	return Reply{Result: plane.Result{Outcome: outcome.Unknown, Reason: reason, BodyBytes: c.bytes}, Started: c.started}
+}
+
+func (c *call) callerGone() Reply {
+	return Reply{Result: plane.Result{Outcome: outcome.Unknown, Reason: outcome.ReasonCancelled, BodyBytes: c.bytes}, Started: true}
+}
+
+func redirected(to *relayv1.Redirect) Reply {
+	reply := notRun(outcome.ReasonNotOwner)
+	reply.Redirect = &plane.Peer{
+		Name:         to.GetNode(),
+		Incarnation:  to.GetIncarnation(),
+		Address:      to.GetAddress(),
+		EntryAddress: to.GetEntryAddress(),
+		Region:       to.GetRegion(),
+	}
+	return reply
+}
+
+func parseFence(text string) (fence.Fence, error) {
+	if text == "" {
+		return fence.Fence{}, nil
+	}
+	f, err := fence.Parse(text)
+	return f, errors.Wrap(err, "answer head")
+}
--- /dev/null
+++ b/node/forward/pool.go
@@ -0,0 +1,135 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+// ErrPoolFull reports that every connection of the pool is in use.
+var ErrPoolFull = errors.New("connection pool full")
+
+const (
+	dialBackoffBase = 50 * time.Millisecond
+	dialBackoffMax  = time.Second
+	dialTimeout     = 2 * time.Second
+	keepaliveTime   = 10 * time.Second
+	keepaliveWait   = 3 * time.Second
+)
+
+// Pool keeps one gRPC connection per peer address, dialled on demand and capped.
+type Pool struct {
+	limit   int
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*pooled
+}
+
+type pooled struct {
+	conn  *grpc.ClientConn
+	users int
+	used  time.Time
+}
+
+// NewPool returns a pool of at most limit connections; extra options go to each dial.
+func NewPool(limit int, extra ...grpc.DialOption) *Pool {
+	options := append([]grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: dialBackoffBase, Multiplier: 2, Jitter: 0.2, MaxDelay: dialBackoffMax},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithNoProxy(),
+	}, extra...)
+	return &Pool{limit: limit, options: options, conns: map[string]*pooled{}}
+}
+
+// Acquire returns the connection to address and a function that gives it back. It fails
+// with ErrPoolFull when no idle connection can make room.
+func (p *Pool) Acquire(address string) (*grpc.ClientConn, func(), error) {
+	p.mu.Lock()
+	entry, evicted, err := p.entry(address)
+	if err == nil {
+		entry.users++
+		entry.used = time.Now()
+	}
+	p.mu.Unlock()
+	if evicted != nil {
+		_ = evicted.Close()
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	return entry.conn, func() { p.release(entry) }, nil
+}
+
+// entry finds or makes the entry of address; the caller holds mu. grpc.NewClient does not
+// wait for the network.
+func (p *Pool) entry(address string) (*pooled, *grpc.ClientConn, error) {
+	if e, ok := p.conns[address]; ok {
+		return e, nil, nil
+	}
+	var evicted *grpc.ClientConn
+	if len(p.conns) >= p.limit {
+		oldest := p.oldestIdle()
+		if oldest == "" {
+			return nil, nil, errors.Wrapf(ErrPoolFull, "%d connections", p.limit)
+		}
+		evicted = p.conns[oldest].conn
+		delete(p.conns, oldest)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, p.options...)
+	if err != nil {
+		return nil, evicted, errors.Wrapf(err, "peer %s", address)
+	}
+	e := &pooled{conn: conn}
+	p.conns[address] = e
+	return e, evicted, nil
+}
+
+func (p *Pool) oldestIdle() string {
+	var oldest string
+	for address, e := range p.conns {
+		if e.users > 0 {
+			continue
+		}
+		if oldest == "" || e.used.Before(p.conns[oldest].used) {
+			oldest = address
+		}
+	}
+	return oldest
+}
+
+func (p *Pool) release(e *pooled) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.users--
+	e.used = time.Now()
+}
+
+// Size returns the number of connections kept.
+func (p *Pool) Size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	conns := p.conns
+	p.conns = map[string]*pooled{}
+	p.mu.Unlock()
+	for _, e := range conns {
+		_ = e.conn.Close()
+	}
+}
--- /dev/null
+++ b/node/forward/server.go
@@ -0,0 +1,228 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+	relayv1 "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
+)
+
+// maxHops is the number of times a request may be redirected.
+const maxHops = 1
+
+// Server takes forwarded requests for the local target.
+type Server struct {
+	relayv1.UnimplementedRelayServiceServer
+	cluster string
+	router  plane.Router
+	owner   plane.Server
+	limits  Limits
+	log     *slog.Logger
+}
+
+// Limits bounds what a peer may send.
+type Limits struct {
+	// BodyBytes is the largest body of a request.
+	BodyBytes int
+}
+
+// NewServer returns a server that serves requests of the named cluster.
+func NewServer(cluster string, router plane.Router, owner plane.Server, limits Limits, log *slog.Logger) *Server {
+	return &Server{cluster: cluster, router: router, owner: owner, limits: limits, log: log}
+}
+
+// Register adds the server to a gRPC server.
+func (s *Server) Register(g *grpc.Server) { relayv1.RegisterRelayServiceServer(g, s) }
+
+// Forward implements the RelayService.
+func (s *Server) Forward(stream grpc.BidiStreamingServer[relayv1.ForwardRequest, relayv1.ForwardResponse]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	received := time.Now()
+	head := first.GetHead()
+	if head == nil {
+		return status.Error(codes.InvalidArgument, "the first frame is not a request head")
+	}
+	answer := &answer{stream: stream, attempt: head.GetAttempt()}
+	if reason := s.misaddressed(head); reason != outcome.ReasonNone {
+		return answer.end(plane.Result{Outcome: outcome.NotRun, Reason: reason})
+	}
+	request, err := fromWireHead(head, received)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	redirect, result, ok := s.route(request, head)
+	if redirect != nil {
+		return stream.Send(redirect)
+	}
+	if !ok {
+		return answer.end(result)
+	}
+	if err := s.readBody(stream, head, request); err != nil {
+		return err
+	}
+	return s.serve(stream.Context(), request, answer)
+}
+
+func (s *Server) serve(ctx context.Context, request *plane.Request, answer *answer) error {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	return answer.end(s.owner.Serve(ctx, request, answer))
+}
+
+// misaddressed tells whether the request was meant for another process than this one.
+func (s *Server) misaddressed(head *relayv1.RequestHead) outcome.Reason {
+	self := s.router.Self()
+	meant := head.GetCluster() == s.cluster && head.GetNode() == self.Name && head.GetIncarnation() == self.Incarnation
+	if meant {
+		return outcome.ReasonNone
+	}
+	s.log.Warn("request for another process refused",
+		"cluster", head.GetCluster(), "node", head.GetNode(), "incarnation", head.GetIncarnation(),
+		"reason", outcome.ReasonPeerIdentity)
+	return outcome.ReasonPeerIdentity
+}
+
+// route fills in the request's range and slice. It returns a redirect to the owner, a
+// refusal, or ok when this node should serve the request.
+func (s *Server) route(request *plane.Request, head *relayv1.RequestHead) (*relayv1.ForwardResponse, plane.Result, bool) {
+	route, err := s.router.Locate(request.Service, request.Key)
+	if err != nil {
+		return nil, plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoOwner}, false
+	}
+	request.Range = route.Range
+	request.Slice = route.Slice
+	if route.Range.Kind == keyspace.Shared || isSelf(s.router.Self(), route.Owner) {
+		return nil, plane.Result{}, true
+	}
+	switch {
+	case route.Owner.Name == "":
+		return nil, plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoOwner}, false
+	case head.GetHops() >= maxHops:
+		return nil, plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonHops}, false
+	}
+	s.log.Debug("redirected", "service", request.Service, "key", request.Key, "slice", route.Slice.String(),
+		"owner", route.Owner.Name, "reason", outcome.ReasonNotOwner)
+	return redirectTo(route.Owner), plane.Result{}, false
+}
+
+func isSelf(self, owner plane.Peer) bool {
+	return owner.Name == self.Name && owner.Incarnation == self.Incarnation
+}
+
+func redirectTo(owner plane.Peer) *relayv1.ForwardResponse {
+	redirect := &relayv1.Redirect{
+		Node:         owner.Name,
+		Incarnation:  owner.Incarnation,
+		Address:      owner.Address,
+		EntryAddress: owner.EntryAddress,
+		Region:       owner.Region,
+	}
+	return &relayv1.ForwardResponse{Frame: &relayv1.ForwardResponse_Redirect{Redirect: redirect}}
+}
+
+// readBody reads the frames up to the end of the body. A body that is cut, too long or not
+// of the announced length ends the stream before anything runs.
+func (s *Server) readBody(stream grpc.BidiStreamingServer[relayv1.ForwardRequest, relayv1.ForwardResponse], head *relayv1.RequestHead, request *plane.Request) error {
+	if head.GetBodyLength() > int64(s.limits.BodyBytes) || len(head.GetBody()) > s.limits.BodyBytes {
+		return status.Error(codes.ResourceExhausted, "body too large")
+	}
+	request.Body = head.GetBody()
+	for whole := head.GetWhole(); !whole; {
+		frame, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "request body")
+		}
+		switch f := frame.GetFrame().(type) {
+		case *relayv1.ForwardRequest_Chunk:
+			request.Body = append(request.Body, f.Chunk...)
+		case *relayv1.ForwardRequest_End:
+			whole = true
+		default:
+			return status.Error(codes.InvalidArgument, "unexpected frame in a request body")
+		}
+		if len(request.Body) > s.limits.BodyBytes {
+			return status.Error(codes.ResourceExhausted, "body too large")
+		}
+	}
+	if head.GetBodyLength() >= 0 && head.GetBodyLength() != int64(len(request.Body)) {
+		return status.Error(codes.InvalidArgument, "body length differs from the announced one")
+	}
+	return nil
+}
+
+// answer sends an answer's frames. A small answer waits for its end and takes one frame.
+type answer struct {
+	stream  grpc.BidiStreamingServer[relayv1.ForwardRequest, relayv1.ForwardResponse]
+	attempt uint64
+	head    *relayv1.ResponseHead
+	small   bool
+	sent    bool
+	bytes   uint64
+}
+
+// Head opens the answer.
+func (a *answer) Head(head plane.Head) error {
+	a.small = head.Length >= 0 && head.Length <= ChunkBytes
+	a.head = &relayv1.ResponseHead{
+		Attempt: a.attempt,
+		Status:  uint32(head.Status),
+		Headers: toWireHeaders(head.Headers),
+		Target:  head.Target,
+		Fence:   head.Fence.String(),
+	}
+	if a.small {
+		return nil
+	}
+	return a.flushHead()
+}
+
+// Write sends a piece of the body.
+func (a *answer) Write(chunk []byte) error {
+	a.bytes += uint64(len(chunk))
+	if a.small && !a.sent && len(a.head.GetBody())+len(chunk) <= ChunkBytes {
+		a.head.Body = append(a.head.Body, chunk...)
+		return nil
+	}
+	if err := a.flushHead(); err != nil {
+		return err
+	}
+	for len(chunk) > 0 {
+		n := min(len(chunk), ChunkBytes)
+		if err := a.stream.Send(&relayv1.ForwardResponse{Frame: &relayv1.ForwardResponse_Chunk{Chunk: chunk[:n]}}); err != nil {
+			return err
+		}
+		chunk = chunk[n:]
+	}
+	return nil
+}
+
+func (a *answer) flushHead() error {
+	if a.sent {
+		return nil
+	}
+	a.sent = true
+	return a.stream.Send(&relayv1.ForwardResponse{Frame: &relayv1.ForwardResponse_Head{Head: a.head}})
+}
+
+// end closes the answer with its outcome.
+func (a *answer) end(result plane.Result) error {
+	result.BodyBytes = a.bytes
+	end := toWireEnd(a.attempt, result)
+	if a.head != nil && !a.sent {
+		a.head.End = end
+		return a.flushHead()
+	}
+	return a.stream.Send(&relayv1.ForwardResponse{Frame: &relayv1.ForwardResponse_End{End: end}})
+}
