--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -1,4 +1,31 @@
-// Command demo runs the whole system on this machine as separate processes.
+// Command demo runs the whole system on this machine as separate processes and exits
+// non-zero if a promise did not hold.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnrelay/auburnrelay/standin/demo"
+)
+
+func main() {
+	options := demo.Options{Out: os.Stdout}
+	c := &cobra.Command{
+		Use:           "demo --bin FOLDER",
+		Short:         "Run the whole system on this machine and check what it shows",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return demo.Run(options) },
+	}
+	c.Flags().StringVar(&options.Bin, "bin", "build", "folder of the built programs")
+	c.Flags().BoolVar(&options.Miswire, "miswire", false, "connect one target to another VM's node; the run must fail")
+	c.Flags().BoolVar(&options.Keep, "keep", false, "keep settings and logs")
+	if err := c.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,295 @@
+// Package demo runs the whole system on one machine and checks what it shows: bookings
+// served by exclusive owners, a VM lost and its keys served again, the account, and a clean
+// stop.
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+)
+
+// ErrBroken reports that the system did not do what it promises.
+var ErrBroken = errors.New("promise broken")
+
+// Options are the demonstration's settings.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Miswire connects one target to another VM's node; the demonstration must then fail.
+	Miswire bool
+	// Keep leaves settings and logs in place and prints their folder.
+	Keep bool
+	Out  io.Writer
+}
+
+const (
+	keysShown     = 12
+	keysServed    = 60
+	deadline      = 5 * time.Second
+	servedAgainIn = 3 * time.Second
+	retryPause    = 20 * time.Millisecond
+	lostVM        = "debrecen-2"
+)
+
+const sheetText = `service,kind,from,to,region,cell,targets,slices
+booking,keyed,,m,alfold,,,32
+booking,keyed,m,,dunantul,,,32
+manuals,shared,,,alfold,,,1
+`
+
+func vms(miswire bool) []fleet.VM {
+	list := []fleet.VM{
+		{Name: "debrecen-1", Region: "alfold", FailureDomain: "debrecen"},
+		{Name: "debrecen-2", Region: "alfold", FailureDomain: "debrecen"},
+		{Name: "szeged-1", Region: "alfold", FailureDomain: "szeged"},
+		{Name: "gyor-1", Region: "dunantul", FailureDomain: "gyor"},
+		{Name: "gyor-2", Region: "dunantul", FailureDomain: "gyor"},
+		{Name: "pecs-1", Region: "dunantul", FailureDomain: "pecs"},
+	}
+	for i := range list {
+		list[i].Slots = 6
+		list[i].ChecksFences = true
+	}
+	if miswire {
+		list[0].AnnounceTo = list[2].Name
+		list[2].NoTarget = true
+	}
+	return list
+}
+
+// demo is one run.
+type demo struct {
+	options Options
+	fleet   *fleet.Fleet
+	caller  caller
+	began   time.Time
+	owners  map[string]served
+}
+
+// Run runs the demonstration. It fails with ErrBroken when a promise did not hold.
+func Run(options Options) error {
+	dir, err := os.MkdirTemp("", "auburnrelay-demo-")
+	if err != nil {
+		return errors.Wrap(err, "demo folder")
+	}
+	if !options.Keep {
+		defer os.RemoveAll(dir)
+	}
+	d := &demo{options: options, began: time.Now(), owners: map[string]served{}}
+	d.caller.http.Timeout = deadline + time.Second
+	d.say("settings and logs in %s", dir)
+	d.fleet, err = fleet.Start(fleet.Plan{Bin: options.Bin, Dir: dir, VMs: vms(options.Miswire)})
+	if err != nil {
+		return err
+	}
+	if err := d.steps(); err != nil {
+		d.fleet.KillAll()
+		return err
+	}
+	return d.stop()
+}
+
+func (d *demo) say(format string, args ...any) {
+	fmt.Fprintf(d.options.Out, "[%5.1fs] %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (d *demo) steps() error {
+	d.say("started the store, %d nodes and their targets", len(d.fleet.Nodes))
+	for _, step := range []func() error{d.applySheet, d.serveAll, d.lookUp, d.loseVM, d.checkLogs, d.showAccount} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) applySheet() error {
+	path := filepath.Join(d.fleet.Dir, "sheet.csv")
+	if err := os.WriteFile(path, []byte(sheetText), 0o600); err != nil {
+		return errors.Wrap(err, "write sheet")
+	}
+	out, err := d.fleet.Relay("sheet", "apply", path)
+	if err != nil {
+		return err
+	}
+	d.say("applied the morning sheet: %s", strings.TrimSpace(out))
+	return nil
+}
+
+// bookingKeys returns keys of both ranges of the booking service.
+func bookingKeys() []string {
+	keys := make([]string, keysServed)
+	for i := range keys {
+		city := "debrecen"
+		if i%2 == 1 {
+			city = "pecs"
+		}
+		keys[i] = fmt.Sprintf("%s-bay-%02d", city, i)
+	}
+	return keys
+}
+
+// serveAll books each key through every node in turn and notes its owner.
+func (d *demo) serveAll() error {
+	for i, key := range bookingKeys() {
+		entry := d.fleet.VMs[i%len(d.fleet.VMs)].Name
+		got, err := d.book(entry, key)
+		if err != nil {
+			return errors.Wrapf(err, "booking of %s", key)
+		}
+		d.owners[key] = got
+		if i < keysShown {
+			d.say("booked %-16s through %-10s owner %-20s target %-10s fence %s", key, entry, got.Owner, got.Target, got.Fence)
+		}
+	}
+	d.say("booked %d keys, each at one owner", len(d.owners))
+	return nil
+}
+
+// book sends one booking and checks that the owner's own target answered it.
+func (d *demo) book(entry, key string) (served, error) {
+	got, err := d.caller.do(http.MethodPost, d.fleet.EntryURL(entry), "booking", key, deadline)
+	if err != nil {
+		return served{}, err
+	}
+	if "http://"+got.Owner != d.fleet.EntryURL(got.Target) || got.AnsweredBy != got.Target {
+		return served{}, errors.Wrapf(ErrBroken, "key %s: owner %s, target named %s, answered by %s",
+			key, got.Owner, got.Target, got.AnsweredBy)
+	}
+	return got, nil
+}
+
+// lookUp asks for every key once more through another node; the owner must be the same.
+func (d *demo) lookUp() error {
+	for i, key := range bookingKeys() {
+		entry := d.fleet.VMs[(i+3)%len(d.fleet.VMs)].Name
+		got, err := d.caller.do(http.MethodGet, d.fleet.EntryURL(entry), "booking", key, deadline)
+		if err != nil {
+			return errors.Wrapf(err, "lookup of %s", key)
+		}
+		if got.Target != d.owners[key].Target {
+			return errors.Wrapf(ErrBroken, "key %s moved from %s to %s without a cause", key, d.owners[key].Target, got.Target)
+		}
+	}
+	d.say("looked up %d keys through other nodes: the same owners answered", len(d.owners))
+	return nil
+}
+
+// loseVM kills the node and the target of one VM and waits until its keys are served.
+func (d *demo) loseVM() error {
+	var lost []string
+	for key, s := range d.owners {
+		if s.Target == lostVM {
+			lost = append(lost, key)
+		}
+	}
+	d.fleet.KillVM(lostVM)
+	killed := time.Now()
+	d.say("killed VM %s, the owner of %d of the keys", lostVM, len(lost))
+	if len(lost) == 0 {
+		return errors.Wrapf(ErrBroken, "%s owned none of %d keys", lostVM, len(d.owners))
+	}
+	longest, err := d.serveLost(lost, killed)
+	if err != nil {
+		return err
+	}
+	d.say("all %d keys served again; the last after %.2f s", len(lost), longest.Seconds())
+	if longest > servedAgainIn {
+		return errors.Wrapf(ErrBroken, "served again after %v, allowed %v", longest, servedAgainIn)
+	}
+	return nil
+}
+
+func (d *demo) serveLost(keys []string, killed time.Time) (time.Duration, error) {
+	var wg sync.WaitGroup
+	times := make([]time.Duration, len(keys))
+	fails := make([]error, len(keys))
+	for i, key := range keys {
+		wg.Go(func() { times[i], fails[i] = d.serveAgain(key, killed) })
+	}
+	wg.Wait()
+	var longest time.Duration
+	for i := range keys {
+		if fails[i] != nil {
+			return 0, fails[i]
+		}
+		longest = max(longest, times[i])
+	}
+	return longest, nil
+}
+
+// serveAgain books the key with a new id each time until it is answered.
+func (d *demo) serveAgain(key string, killed time.Time) (time.Duration, error) {
+	for {
+		got, err := d.book("szeged-1", key)
+		took := time.Since(killed)
+		switch {
+		case err == nil && got.Target != lostVM:
+			return took, nil
+		case errors.Is(err, ErrBroken):
+			return 0, err
+		case took > 2*servedAgainIn:
+			return 0, errors.Wrapf(ErrBroken, "key %s not served %v after the loss: %v", key, took, err)
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// checkLogs reads every target's execution log and checks sole ownership in it.
+func (d *demo) checkLogs() error {
+	var entries []execlog.Entry
+	for _, vm := range d.fleet.VMs {
+		if vm.NoTarget {
+			continue
+		}
+		file, err := os.Open(d.fleet.ExecutionLog(vm.Name))
+		if err != nil {
+			return errors.Wrap(err, "execution log")
+		}
+		read, err := execlog.Read(file)
+		file.Close()
+		if err != nil {
+			return err
+		}
+		entries = append(entries, read...)
+	}
+	if violations := execlog.Check(entries); len(violations) > 0 {
+		return errors.Wrapf(ErrBroken, "%d violations, first: %v", len(violations), violations[0])
+	}
+	d.say("checked %d lines of execution logs: no key had two owners, nothing ran twice", len(entries))
+	return nil
+}
+
+func (d *demo) showAccount() error {
+	month := time.Now().UTC().Format("2006-01")
+	var out string
+	err := fleet.Await(10*time.Second, func() bool {
+		var err error
+		out, err = d.fleet.Relay("account", "--month", month)
+		return err == nil && strings.Contains(out, "booking")
+	})
+	if err != nil {
+		return errors.Wrapf(ErrBroken, "account of %s: %v: %s", month, err, out)
+	}
+	d.say("account of %s:\n%s", month, strings.TrimSpace(out))
+	return nil
+}
+
+func (d *demo) stop() error {
+	if err := d.fleet.Stop(); err != nil {
+		return errors.Wrapf(ErrBroken, "not a clean stop: %v", err)
+	}
+	d.say("everything stopped cleanly")
+	return nil
+}
--- /dev/null
+++ b/standin/fleet/process.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrStillRuns reports a process that did not end in time.
+var ErrStillRuns = errors.New("process still runs")
+
+// Process is one started program. Its output goes to a file named after it.
+type Process struct {
+	Name string
+	// Log is the path of the file with its output.
+	Log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+
+	mu  sync.Mutex
+	err error
+}
+
+// start runs the program at path; its output goes to dir/name.log.
+func start(dir, name, path string, args ...string) (*Process, error) {
+	logPath := filepath.Join(dir, name+".log")
+	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer out.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout = out
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, Log: logPath, cmd: cmd, done: make(chan struct{})}
+	go p.wait()
+	return p, nil
+}
+
+func (p *Process) wait() {
+	err := p.cmd.Wait()
+	p.mu.Lock()
+	p.err = err
+	p.mu.Unlock()
+	close(p.done)
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Pause stops the process until Resume, as a frozen machine would.
+func (p *Process) Pause() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process run on.
+func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to stop gracefully.
+func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Stop asks the process to stop and waits. It fails with ErrStillRuns after the wait, or
+// with the process's own error.
+func (p *Process) Stop(wait time.Duration) error {
+	if p.Running() {
+		if err := p.Terminate(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			return errors.Wrapf(err, "stop %s", p.Name)
+		}
+	}
+	select {
+	case <-p.done:
+	case <-time.After(wait):
+		return errors.Wrapf(ErrStillRuns, "%s after %v", p.Name, wait)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return errors.Wrapf(p.err, "%s", p.Name)
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
