--- a/node/entry/http.go
+++ b/node/entry/http.go
@@ -40,18 +40,15 @@
 
 func unknownPath(_ error, c echo.Context) {
 	answer := &httpAnswer{w: c.Response()}
-	answer.refuse(http.StatusNotFound, plane.Result{Outcome: outcome.NotRun, Reason: reasonBadRequest}, ErrBadPath.Error())
+	answer.refuse(http.StatusNotFound, plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonBadRequest}, ErrBadPath.Error())
 }
 
-// reasonBadRequest goes with requests that break the interface.
-const reasonBadRequest outcome.Reason = "bad-request"
-
 func (h *Handler) handle(c echo.Context) error {
 	answer := &httpAnswer{w: c.Response()}
 	request, err := readRequest(c.Request(), h.limits, time.Now())
 	if err != nil {
 		h.log.Info("request refused", "path", c.Request().URL.Path, "reason", err.Error())
-		answer.refuse(badRequestStatus(err), plane.Result{Outcome: outcome.NotRun, Reason: reasonBadRequest}, err.Error())
+		answer.refuse(badRequestStatus(err), plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonBadRequest}, err.Error())
 		return nil
 	}
 	result, err := h.dispatcher.Do(c.Request().Context(), request, answer)
--- a/node/forward/server.go
+++ b/node/forward/server.go
@@ -69,7 +69,11 @@
 	if !ok {
 		return answer.end(result)
 	}
-	if err := s.readBody(stream, head, request); err != nil {
+	switch err := s.readBody(stream, head, request); {
+	case errors.Is(err, errBadBody):
+		s.log.Warn("request refused", "service", request.Service, "reason", err.Error())
+		return answer.end(plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonBadRequest})
+	case err != nil:
 		return err
 	}
 	return s.serve(stream.Context(), request, answer)
@@ -132,11 +136,14 @@
 	return &relayv1.ForwardResponse{Frame: &relayv1.ForwardResponse_Redirect{Redirect: redirect}}
 }
 
-// readBody reads the frames up to the end of the body. A body that is cut, too long or not
-// of the announced length ends the stream before anything runs.
+// errBadBody reports a body that is too long or not of the announced length.
+var errBadBody = errors.New("bad body")
+
+// readBody reads the frames up to the end of the body. It fails with errBadBody, or with the
+// stream's error when the body is cut.
 func (s *Server) readBody(stream grpc.BidiStreamingServer[relayv1.ForwardRequest, relayv1.ForwardResponse], head *relayv1.RequestHead, request *plane.Request) error {
-	if head.GetBodyLength() > int64(s.limits.BodyBytes) || len(head.GetBody()) > s.limits.BodyBytes {
-		return status.Error(codes.ResourceExhausted, "body too large")
+	if head.GetBodyLength() > int64(s.limits.BodyBytes) {
+		return errors.Wrapf(errBadBody, "%d bytes announced, at most %d", head.GetBodyLength(), s.limits.BodyBytes)
 	}
 	request.Body = head.GetBody()
 	for whole := head.GetWhole(); !whole; {
@@ -150,14 +157,14 @@
 		case *relayv1.ForwardRequest_End:
 			whole = true
 		default:
-			return status.Error(codes.InvalidArgument, "unexpected frame in a request body")
+			return errors.Wrap(errBadBody, "unexpected frame")
 		}
 		if len(request.Body) > s.limits.BodyBytes {
-			return status.Error(codes.ResourceExhausted, "body too large")
+			return errors.Wrapf(errBadBody, "more than %d bytes", s.limits.BodyBytes)
 		}
 	}
 	if head.GetBodyLength() >= 0 && head.GetBodyLength() != int64(len(request.Body)) {
-		return status.Error(codes.InvalidArgument, "body length differs from the announced one")
+		return errors.Wrapf(errBadBody, "%d bytes, %d announced", len(request.Body), head.GetBodyLength())
 	}
 	return nil
 }
