Add the sheet, the settings and the operators' command line

core/sheet reads a planner's CSV (byte order mark, CRLF, either separator, quotes, accents, blank rows) and names every fault with line and column; it compares two sheets and counts the slices that change owners. node/settings loads TOML with defaults and names every wrong, unknown or missing field with its line or path; each field is decoded on its own, so that one wrong type hides no other fault. cmd/auburnrelay has config, node and sheet commands; the daemon and the store client are set by main's variables runNode and openStore.

Guards broken one at a time, and restored: overlap of ranges, gap between ranges, the widest former range, one region per cell: TestSheet red; strict fields, faults reported once: TestParse red. Command: go test -count=1 ./sheet (core), ./settings (node).

--- /dev/null
+++ b/cmd/auburnrelay/command/sheetapply.go
@@ -0,0 +1,101 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/publish"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/sheet"
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+// applyOptions are the flags of "sheet apply".
+type applyOptions struct {
+	who          string
+	seen         int64
+	confirmMoves bool
+}
+
+func (p *program) sheetApplyCommand() *cobra.Command {
+	var o applyOptions
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a sheet the one in force",
+		Long: `Make a sheet the one in force. It is accepted by one conditional write on the version
+that the operator saw (--seen; the accepted one when left out). When another operator
+was faster, nothing is written and what differs is printed. Applying the accepted sheet
+again changes nothing.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, layout, err := readSheet(args[0])
+			if err != nil {
+				return err
+			}
+			return p.withPublisher(c.Context(), func(ctx context.Context, publisher publish.Publisher) error {
+				return p.apply(ctx, publisher, o, text, layout)
+			})
+		},
+	}
+	c.Flags().StringVar(&o.who, "who", p.User, "name of the operator")
+	c.Flags().Int64Var(&o.seen, "seen", -1, "version that \"sheet diff\" compared with; 0 for none")
+	c.Flags().BoolVar(&o.confirmMoves, "confirm-moves", false, "accept a sheet that moves many keys")
+	return c
+}
+
+func (p *program) apply(ctx context.Context, publisher publish.Publisher, o applyOptions, text []byte, layout keyspace.Layout) error {
+	seen, err := currentOrNone(ctx, publisher)
+	if err != nil {
+		return err
+	}
+	if seen.Version != 0 && seen.Digest == sheet.Digest(text) {
+		return p.printf("version %d is this sheet already; nothing changed\n", seen.Version)
+	}
+	if o.seen >= 0 && platform.Version(o.seen) != seen.Version {
+		return p.reportRace(ctx, publisher, layout)
+	}
+	diff := sheet.Compare(seen.Layout, layout)
+	if err := p.checkMoves(seen, diff, o.confirmMoves); err != nil {
+		return err
+	}
+	accepted, err := publisher.Publish(ctx, publish.Offer{
+		CSV: text, Layout: layout, Who: o.who, When: p.Now().UTC(), ID: p.NewID(), Seen: seen,
+	})
+	if errors.Is(err, publish.ErrRaced) {
+		return p.reportRace(ctx, publisher, layout)
+	}
+	if errors.Is(err, publish.ErrUnresolved) {
+		return errors.WithHint(err, "apply the same sheet again to find out; that is safe")
+	}
+	if err != nil {
+		return err
+	}
+	return p.printf("accepted as version %d; %d changes; %s\n", accepted.Version, len(diff.Changes), movedOf(diff))
+}
+
+// checkMoves refuses a sheet that moves many keys without the operator's confirmation.
+func (p *program) checkMoves(seen publish.Accepted, d sheet.Diff, confirmed bool) error {
+	if confirmed || d.MovedShare() <= freelyMoved {
+		return nil
+	}
+	if err := p.printDiff(seen, d); err != nil {
+		return err
+	}
+	return errors.Wrapf(ErrRefused, "%s; repeat with --confirm-moves if this is meant", movedOf(d))
+}
+
+// reportRace tells who was faster and how the accepted sheet differs from the offered one.
+func (p *program) reportRace(ctx context.Context, publisher publish.Publisher, layout keyspace.Layout) error {
+	winner, err := currentOrNone(ctx, publisher)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "read the sheet accepted meanwhile"), publish.ErrRaced)
+	}
+	_ = p.printf("not applied: another sheet was accepted meanwhile\n")
+	_ = p.printf("from it to yours:\n")
+	if err := p.printDiff(winner, sheet.Compare(winner.Layout, layout)); err != nil {
+		return err
+	}
+	return errors.Wrapf(publish.ErrRaced, "version %d by %s", winner.Version, winner.Who)
+}
--- /dev/null
+++ b/core/sheet/layout.go
@@ -0,0 +1,110 @@
+package sheet
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// layout groups the rows by service and checks what concerns several rows.
+func (p *parser) layout() keyspace.Layout {
+	if len(p.rows) == 0 && len(p.faults) == 0 {
+		p.faults = append(p.faults, Fault{Problem: "the sheet has no rows"})
+	}
+	p.checkCells()
+	var layout keyspace.Layout
+	for _, rows := range p.byService() {
+		p.checkKinds(rows)
+		p.checkCover(rows)
+		layout.Services = append(layout.Services, serviceOf(rows))
+	}
+	return layout
+}
+
+func serviceOf(rows []parsedRow) keyspace.Service {
+	service := keyspace.Service{Name: rows[0].r.Service, Kind: rows[0].r.Kind}
+	for _, row := range rows {
+		service.Ranges = append(service.Ranges, row.r)
+	}
+	return service
+}
+
+// byService returns the rows of each service ordered by their first key.
+func (p *parser) byService() [][]parsedRow {
+	rows := append([]parsedRow(nil), p.rows...)
+	sort.SliceStable(rows, func(i, j int) bool {
+		if rows[i].r.Service != rows[j].r.Service {
+			return rows[i].r.Service < rows[j].r.Service
+		}
+		return rows[i].r.From < rows[j].r.From
+	})
+	var groups [][]parsedRow
+	for start := 0; start < len(rows); {
+		end := start
+		for end < len(rows) && rows[end].r.Service == rows[start].r.Service {
+			end++
+		}
+		groups = append(groups, rows[start:end])
+		start = end
+	}
+	return groups
+}
+
+func (p *parser) checkKinds(rows []parsedRow) {
+	for _, row := range rows[1:] {
+		if row.r.Kind != rows[0].r.Kind {
+			p.fail(row.row, fieldKind, fmt.Sprintf("service %q is %s on line %d", row.r.Service, rows[0].r.Kind, rows[0].line))
+		}
+	}
+}
+
+// checkCells reports a cell that stands with two regions; a cell lies in one.
+func (p *parser) checkCells() {
+	first := map[string]parsedRow{}
+	for _, row := range p.rows {
+		former, known := first[row.r.Cell]
+		if !known {
+			first[row.r.Cell] = row
+			continue
+		}
+		if former.r.Region != row.r.Region {
+			p.fail(row.row, fieldRegion, fmt.Sprintf("cell %q is in region %q on line %d", row.r.Cell, former.r.Region, former.line))
+		}
+	}
+}
+
+// checkCover reports keys of a service that no range or more than one holds.
+func (p *parser) checkCover(rows []parsedRow) {
+	if rows[0].r.From != "" {
+		p.failGap(rows[0], fieldFrom, "no range holds the keys before "+strconv.Quote(rows[0].r.From))
+	}
+	widest := rows[0]
+	for _, row := range rows[1:] {
+		p.checkBorder(widest, row)
+		if widest.r.To != "" && (row.r.To == "" || row.r.To > widest.r.To) {
+			widest = row
+		}
+	}
+	if widest.r.To != "" {
+		p.failGap(widest, fieldTo, "no range holds the keys from "+strconv.Quote(widest.r.To)+" on")
+	}
+}
+
+func (p *parser) checkBorder(former, row parsedRow) {
+	if former.r.Overlaps(row.r) {
+		p.fail(row.row, fieldFrom, fmt.Sprintf("the range shares keys with line %d", former.line))
+		return
+	}
+	if former.r.To < row.r.From {
+		p.failGap(row, fieldFrom, fmt.Sprintf("no range holds the keys from %q to %q", former.r.To, row.r.From))
+	}
+}
+
+// failGap reports keys without a range, unless a faulty row may have held them.
+func (p *parser) failGap(at parsedRow, field, problem string) {
+	if !p.incomplete[at.r.Service] && !p.incomplete[""] {
+		p.fail(at.row, field, problem)
+	}
+}
--- /dev/null
+++ b/core/sheet/table.go
@@ -0,0 +1,192 @@
+package sheet
+
+import (
+	"bytes"
+	"encoding/csv"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+var requiredFields = []string{fieldService, fieldKind, fieldFrom, fieldTo, fieldRegion}
+var optionalFields = []string{fieldCell, fieldTargets, fieldSlices}
+
+// place is a position in the file; column counts characters from one.
+type place struct{ line, column int }
+
+// row is one row of a sheet by column name.
+type row struct {
+	line   int
+	fields map[string]string
+	places map[string]place
+}
+
+func (r row) field(name string) string { return r.fields[name] }
+
+func (r row) place(name string) place {
+	if at, ok := r.places[name]; ok {
+		return at
+	}
+	return place{line: r.line, column: 1}
+}
+
+type table struct{ rows []row }
+
+// tableReader turns CSV records into rows.
+type tableReader struct {
+	csv    *csv.Reader
+	lines  [][]byte
+	header []string
+	faults Faults
+}
+
+// readTable splits a sheet into rows and reports faults of form.
+func readTable(text []byte) (table, Faults) {
+	r := tableReader{lines: bytes.Split(text, []byte("\n"))}
+	if fault, bad := r.badEncoding(); bad {
+		return table{}, Faults{fault}
+	}
+	r.csv = csv.NewReader(bytes.NewReader(text))
+	r.csv.Comma = separator(r.lines)
+	r.csv.FieldsPerRecord = -1
+	if !r.readHeader() {
+		return table{}, r.faults
+	}
+	return table{rows: r.readRows()}, r.faults
+}
+
+func (r *tableReader) badEncoding() (Fault, bool) {
+	for i, line := range r.lines {
+		if utf8.Valid(line) {
+			continue
+		}
+		column := 1
+		for rest := line; len(rest) > 0; column++ {
+			char, size := utf8.DecodeRune(rest)
+			if char == utf8.RuneError && size == 1 {
+				break
+			}
+			rest = rest[size:]
+		}
+		return Fault{Line: i + 1, Column: column, Problem: "not UTF-8 text; export the sheet as UTF-8"}, true
+	}
+	return Fault{}, false
+}
+
+// separator returns the separator that the header line holds most often.
+func separator(lines [][]byte) rune {
+	for _, line := range lines {
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		if bytes.Count(line, []byte(";")) > bytes.Count(line, []byte(",")) {
+			return ';'
+		}
+		return ','
+	}
+	return ','
+}
+
+// next returns the next record that is not blank; it records faults of form on the way.
+func (r *tableReader) next() (record []string, ok bool) {
+	for {
+		record, err := r.csv.Read()
+		if errors.Is(err, io.EOF) {
+			return nil, false
+		}
+		if err != nil {
+			r.addSyntax(err)
+			continue
+		}
+		if strings.TrimSpace(strings.Join(record, "")) != "" {
+			return record, true
+		}
+	}
+}
+
+func (r *tableReader) addSyntax(err error) {
+	var syntax *csv.ParseError
+	if !errors.As(err, &syntax) {
+		r.faults = append(r.faults, Fault{Problem: err.Error()})
+		return
+	}
+	at := r.characters(syntax.Line, syntax.Column)
+	r.faults = append(r.faults, Fault{Line: at.line, Column: at.column, Problem: syntax.Err.Error()})
+}
+
+func (r *tableReader) readHeader() bool {
+	record, ok := r.next()
+	if !ok {
+		r.faults = append(r.faults, Fault{Problem: "the sheet is empty"})
+		return false
+	}
+	for i, text := range record {
+		name := strings.ToLower(strings.TrimSpace(text))
+		r.checkHeader(name, r.placeOf(i))
+		r.header = append(r.header, name)
+	}
+	for _, name := range requiredFields {
+		if !slices.Contains(r.header, name) {
+			at := r.placeOf(0)
+			r.faults = append(r.faults, Fault{Line: at.line, Column: at.column, Field: name, Problem: "the column is missing"})
+		}
+	}
+	return len(r.faults) == 0
+}
+
+func (r *tableReader) checkHeader(name string, at place) {
+	problem := ""
+	if !slices.Contains(requiredFields, name) && !slices.Contains(optionalFields, name) {
+		problem = "unknown column " + strconv.Quote(name)
+	}
+	if slices.Contains(r.header, name) {
+		problem = "the column " + strconv.Quote(name) + " stands twice"
+	}
+	if problem != "" {
+		r.faults = append(r.faults, Fault{Line: at.line, Column: at.column, Problem: problem})
+	}
+}
+
+func (r *tableReader) readRows() []row {
+	var rows []row
+	for {
+		record, ok := r.next()
+		if !ok {
+			return rows
+		}
+		rows = append(rows, r.rowOf(record))
+	}
+}
+
+func (r *tableReader) rowOf(record []string) row {
+	out := row{line: r.placeOf(0).line, fields: map[string]string{}, places: map[string]place{}}
+	for i, text := range record {
+		at := r.placeOf(i)
+		if i < len(r.header) {
+			out.fields[r.header[i]] = text
+			out.places[r.header[i]] = at
+			continue
+		}
+		if strings.TrimSpace(text) != "" {
+			r.faults = append(r.faults, Fault{Line: at.line, Column: at.column, Problem: "more fields than the header has"})
+		}
+	}
+	return out
+}
+
+// placeOf returns the place of a field of the record read last.
+func (r *tableReader) placeOf(field int) place {
+	line, column := r.csv.FieldPos(field)
+	return r.characters(line, column)
+}
+
+// characters turns a column counted in bytes into one counted in characters.
+func (r *tableReader) characters(line, column int) place {
+	text := r.lines[line-1]
+	end := min(max(column-1, 0), len(text))
+	return place{line: line, column: utf8.RuneCount(text[:end]) + 1}
+}
--- /dev/null
+++ b/node/settings/defaults.go
@@ -0,0 +1,67 @@
+package settings
+
+import "time"
+
+// Defaults returns the settings of a file that sets nothing. Names, addresses and the
+// store's URL have no default.
+func Defaults() *Settings {
+	return &Settings{
+		Store:  defaultStore(),
+		Target: defaultTarget(),
+		Timing: defaultTiming(),
+		Load:   defaultLoad(),
+		Log:    Log{Format: "text", Level: "info", DecisionSample: 1000},
+		Limits: defaultLimits(),
+	}
+}
+
+func defaultStore() Store {
+	return Store{
+		RequestTimeout: Duration(500 * time.Millisecond),
+		WatchWait:      Duration(30 * time.Second),
+		CallsPerSecond: 5,
+		CallBurst:      20,
+	}
+}
+
+func defaultTarget() Target {
+	return Target{
+		MaxConnections:  16,
+		ProbeInterval:   Duration(250 * time.Millisecond),
+		ProbeTimeout:    Duration(500 * time.Millisecond),
+		AnnounceTimeout: Duration(3 * time.Second),
+	}
+}
+
+func defaultTiming() Timing {
+	return Timing{
+		Lease:         Duration(1500 * time.Millisecond),
+		Promise:       Duration(1200 * time.Millisecond),
+		Tick:          Duration(300 * time.Millisecond),
+		DrainTimeout:  Duration(10 * time.Minute),
+		DriftPerMille: 10,
+	}
+}
+
+func defaultLoad() LoadPolicy {
+	return LoadPolicy{
+		ShortReserved:   0.34,
+		LongWork:        Duration(time.Second),
+		QueueDelay:      Duration(50 * time.Millisecond),
+		KeyShare:        0.5,
+		RetryShare:      0.1,
+		WarmUp:          Duration(10 * time.Second),
+		RegionLinkMbits: 20,
+	}
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		BodyBytes:       8 << 20,
+		HeaderBytes:     16 << 10,
+		KeyBytes:        256,
+		QueueLength:     256,
+		PeerConnections: 64,
+		MaxDeadline:     Duration(10 * time.Minute),
+	}
+}
