--- /dev/null
+++ b/node/entry/entry_test.go
@@ -0,0 +1,264 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/forward"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+var (
+	self  = plane.Peer{Name: "vm-1", Incarnation: 1, EntryAddress: "10.0.0.1:7001"}
+	other = plane.Peer{Name: "vm-2", Incarnation: 1, EntryAddress: "10.0.0.2:7001"}
+)
+
+// script is a router, a local server and a forwarder that answer from lists: one owner, then
+// one end for each try. The last of a list repeats.
+type script struct {
+	mu      sync.Mutex
+	kind    keyspace.Kind
+	owners  []plane.Peer
+	ends    []forward.Reply
+	tries   int
+	locates int
+	learned []plane.Peer
+	body    string
+	granted int
+	counted []outcome.Outcome
+	changed chan struct{}
+}
+
+func (s *script) Locate(service, _ string) (plane.Route, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if service != "booking" {
+		return plane.Route{}, keyspace.ErrUnknownService
+	}
+	owner := s.owners[min(s.locates, len(s.owners)-1)]
+	s.locates++
+	rng := keyspace.Range{Service: service, Kind: s.kind, Slices: 1}
+	return plane.Route{Range: rng, Owner: owner, Candidates: []plane.Peer{self, other}}, nil
+}
+
+func (s *script) Learn(_ keyspace.SliceID, owner plane.Peer) { s.learned = append(s.learned, owner) }
+func (s *script) Self() plane.Peer                           { return self }
+func (s *script) Changed() <-chan struct{}                   { return s.changed }
+
+func (s *script) Forward(_ context.Context, _ plane.Peer, _ uint32, r *plane.Request, sink plane.Sink) forward.Reply {
+	s.mu.Lock()
+	end := s.ends[min(s.tries, len(s.ends)-1)]
+	s.tries++
+	s.mu.Unlock()
+	if end.Result.Outcome == outcome.Answered || end.Started {
+		_ = sink.Head(plane.Head{Status: 200, Target: "vm-2", Length: -1})
+		_ = sink.Write(append([]byte("echo:"), r.Body...))
+	}
+	return end
+}
+
+func (s *script) Serve(ctx context.Context, r *plane.Request, sink plane.Sink) plane.Result {
+	return s.Forward(ctx, self, 0, r, sink).Result
+}
+
+func (s *script) Choose(candidates []plane.Peer, tried []string) (plane.Peer, func(plane.Result), bool) {
+	if len(tried) >= len(candidates) {
+		return plane.Peer{}, nil, false
+	}
+	return candidates[len(tried)], func(plane.Result) {}, true
+}
+
+func (s *script) Earn() {}
+func (s *script) Spend() bool {
+	s.granted--
+	return s.granted >= 0
+}
+
+func (s *script) Count(_ keyspace.Range, result outcome.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counted = append(s.counted, result)
+}
+
+func (s *script) start(t *testing.T) *httptest.Server {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	config := DispatchConfig{HoldMax: 200 * time.Millisecond, HoldLimit: 10, RetryPause: time.Millisecond}
+	parts := Parts{Router: s, Local: s, Remote: s, Chooser: s, Budget: s, Ledger: s, Log: log}
+	limits := Limits{KeyBytes: 32, BodyBytes: 64, DefaultDeadline: 2 * time.Second, MaxDeadline: time.Minute}
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewHandler(NewDispatcher(config, parts), limits, log).NewServer(4096)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func answered() forward.Reply {
+	return forward.Reply{Result: plane.Result{Outcome: outcome.Answered}, Started: true}
+}
+
+func refusedFor(o outcome.Outcome, reason outcome.Reason) forward.Reply {
+	return forward.Reply{Result: plane.Result{Outcome: o, Reason: reason}}
+}
+
+// TestBadInput sends requests that break the interface; none may reach an owner.
+func TestBadInput(t *testing.T) {
+	id := ulid.Make().String()
+	cases := []struct {
+		name, method, path, id, deadline, body string
+		status                                 int
+		message                                string
+	}{
+		{"no key", "GET", "/v1/booking", "", "", "", 400, "path is not"},
+		{"empty key", "GET", "/v1/booking/", "", "", "", 400, "path is not"},
+		{"other path", "GET", "/v2/booking/k", "", "", "", 404, "path is not"},
+		{"unknown service", "GET", "/v1/parts/k", "", "", "", 404, "unknown service"},
+		{"key too long", "GET", "/v1/booking/" + strings.Repeat("k", 33), "", "", "", 413, "key too long"},
+		{"key not escaped well", "GET", "/v1/booking/%zz", "", "", "", 400, ""},
+		{"booking without an id", "POST", "/v1/booking/k", "", "", "", 400, "not a ULID"},
+		{"malformed id", "POST", "/v1/booking/k", "42", "", "", 400, "not a ULID"},
+		{"zero id", "POST", "/v1/booking/k", strings.Repeat("0", 26), "", "", 400, "not a ULID"},
+		{"past deadline", "POST", "/v1/booking/k", id, "0", "", 400, "deadline"},
+		{"negative deadline", "POST", "/v1/booking/k", id, "-5", "", 400, "deadline"},
+		{"malformed deadline", "POST", "/v1/booking/k", id, "soon", "", 400, "deadline"},
+		{"body too large", "POST", "/v1/booking/k", id, "", strings.Repeat("b", 65), 413, "body too large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &script{owners: []plane.Peer{other}, ends: []forward.Reply{answered()}}
+			status, body := send(t, s.start(t), c.method, c.path, c.id, c.deadline, c.body)
+			if status != c.status || !strings.Contains(body, c.message) {
+				t.Errorf("got %d %s", status, body)
+			}
+			if s.tries != 0 {
+				t.Error("the request reached an owner")
+			}
+		})
+	}
+}
+
+func send(t *testing.T, server *httptest.Server, method, path, id, deadline, body string) (int, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	text := method + " " + path + " HTTP/1.1\r\nHost: test\r\nConnection: close\r\n"
+	for name, value := range map[string]string{HeaderRequestID: id, HeaderDeadline: deadline} {
+		if value != "" {
+			text += name + ": " + value + "\r\n"
+		}
+	}
+	_, _ = io.WriteString(conn, text+"Transfer-Encoding: chunked\r\n\r\n"+chunked(body))
+	raw, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var status int
+	if fields := strings.Fields(string(raw)); len(fields) > 1 {
+		for _, digit := range fields[1] {
+			status = status*10 + int(digit-'0')
+		}
+	}
+	return status, string(raw)
+}
+
+func chunked(body string) string {
+	if body == "" {
+		return "0\r\n\r\n"
+	}
+	const hex = "0123456789abcdef"
+	n := len(body)
+	return string([]byte{hex[n>>4], hex[n&15]}) + "\r\n" + body + "\r\n0\r\n\r\n"
+}
+
+// TestWrongContentLength sends fewer bytes than announced; nothing may run.
+func TestWrongContentLength(t *testing.T) {
+	s := &script{owners: []plane.Peer{other}, ends: []forward.Reply{answered()}}
+	server := s.start(t)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := "POST /v1/booking/k HTTP/1.1\r\nHost: t\r\n" + HeaderRequestID + ": " + ulid.Make().String() + "\r\nContent-Length: 10\r\n\r\nfour"
+	_, _ = io.WriteString(conn, text)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	raw, _ := io.ReadAll(conn)
+	conn.Close()
+	if s.tries != 0 || !strings.Contains(string(raw), "400 Bad Request") {
+		t.Errorf("tries %d, answer %q", s.tries, raw)
+	}
+}
+
+// TestTries runs lists of ends and checks what the caller sees and how often it was tried.
+func TestTries(t *testing.T) {
+	lost := refusedFor(outcome.Unknown, outcome.ReasonPeerLost)
+	notRun := func(reason outcome.Reason) forward.Reply { return refusedFor(outcome.NotRun, reason) }
+	redirect := notRun(outcome.ReasonNotOwner)
+	redirect.Redirect = &other
+	cut := refusedFor(outcome.Unknown, outcome.ReasonTruncated)
+	cut.Started = true
+	cases := []struct {
+		name    string
+		method  string
+		kind    keyspace.Kind
+		owners  []plane.Peer
+		ends    []forward.Reply
+		budget  int
+		tries   int
+		outcome outcome.Outcome
+		status  int
+	}{
+		{"first try", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{answered()}, 0, 1, outcome.Answered, 200},
+		{"local owner", "POST", keyspace.Keyed, []plane.Peer{self}, []forward.Reply{answered()}, 0, 1, outcome.Answered, 200},
+		{"one redirect", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{redirect, answered()}, 0, 2, outcome.Answered, 200},
+		{"booking lost with its owner", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{lost, answered()}, 9, 1, outcome.Unknown, 504},
+		{"lookup lost with its owner", "GET", keyspace.Keyed, []plane.Peer{other, self}, []forward.Reply{lost, answered()}, 9, 2, outcome.Answered, 200},
+		{"booking refused by a former owner", "POST", keyspace.Keyed, []plane.Peer{other, self}, []forward.Reply{notRun(outcome.ReasonLeaseLapsed), answered()}, 0, 2, outcome.Answered, 200},
+		{"no owner, then one", "POST", keyspace.Keyed, []plane.Peer{{}, self}, []forward.Reply{answered()}, 0, 1, outcome.Answered, 200},
+		{"no owner at all", "POST", keyspace.Keyed, []plane.Peer{{}}, nil, 0, 0, outcome.NotRun, 503},
+		{"shed", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonShed)}, 9, 1, outcome.NotRun, 503},
+		{"quarantined", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonQuarantined)}, 9, 1, outcome.NotRun, 508},
+		{"shared, first replica refuses", "GET", keyspace.Shared, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonTargetRefused), answered()}, 1, 2, outcome.Answered, 200},
+		{"shared, budget used up", "GET", keyspace.Shared, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonTargetRefused), answered()}, 0, 1, outcome.NotRun, 503},
+		{"cut answer", "GET", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{cut, answered()}, 9, 1, outcome.Unknown, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := &script{kind: c.kind, owners: c.owners, ends: c.ends, granted: c.budget}
+			server := s.start(t)
+			request, _ := http.NewRequest(c.method, server.URL+"/v1/booking/k", nil)
+			request.Header.Set(HeaderRequestID, ulid.Make().String())
+			resp, err := http.DefaultClient.Do(request)
+			if c.status == 0 {
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+				}
+				if err == nil {
+					t.Error("a cut answer looked whole")
+				}
+			} else if err != nil || resp.StatusCode != c.status {
+				t.Fatalf("got %v, %v", resp, err)
+			}
+			if s.tries != c.tries {
+				t.Errorf("%d tries, want %d", s.tries, c.tries)
+			}
+			if len(s.counted) != 1 || s.counted[0] != c.outcome {
+				t.Errorf("counted %v, want one %v", s.counted, c.outcome)
+			}
+		})
+	}
+}
