--- /dev/null
+++ b/standin/faults/scene.go
@@ -0,0 +1,221 @@
+// Package faults plays failures on a running fleet and checks the users' promises: sole
+// ownership in the targets' execution logs, and the time that keys go unserved.
+package faults
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/probe"
+	"github.com/auburnrelay/auburnrelay/standin/store"
+	"github.com/auburnrelay/auburnrelay/standin/target"
+)
+
+// ErrOwnership reports a key that had two owners, or work that ran twice.
+var ErrOwnership = errors.New("sole ownership violated")
+
+const (
+	// Cell is the cell whose nodes the scenes hurt.
+	Cell = "alfold"
+	// service is the keyed service that is probed.
+	service      = "booking"
+	keyCount     = 40
+	probeEvery   = 100 * time.Millisecond
+	probeWait    = 5 * time.Second
+	settleLimit  = 20 * time.Second
+	adminTimeout = 2 * time.Second
+)
+
+const sheet = `service,kind,from,to,region,cell,targets,slices
+booking,keyed,,,alfold,,,32
+`
+
+// Scene is one running fleet under probes.
+type Scene struct {
+	Fleet *fleet.Fleet
+	Probe *probe.Prober
+	keys  []string
+}
+
+// Options vary a scene.
+type Options struct {
+	Bin string
+	Dir string
+	// VMs is the number of VMs of the cell, at least one.
+	VMs int
+	// Unchecked makes the targets accept any fence.
+	Unchecked bool
+	// Settings is TOML text added to each node's settings.
+	Settings string
+}
+
+// Open starts a fleet, applies a sheet and probes until every key is served.
+func Open(o Options) (*Scene, error) {
+	f, err := fleet.Start(fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings})
+	if err != nil {
+		return nil, err
+	}
+	s := &Scene{Fleet: f}
+	if err := s.prepare(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// vms places the VMs in two failure domains in turn.
+func vms(o Options) []fleet.VM {
+	domains := []string{"debrecen", "szeged"}
+	list := make([]fleet.VM, o.VMs)
+	for i := range list {
+		domain := domains[i%len(domains)]
+		list[i] = fleet.VM{
+			Name:          fmt.Sprintf("%s-%d", domain, i/len(domains)+1),
+			Region:        Cell,
+			FailureDomain: domain,
+			Slots:         6,
+			ChecksFences:  !o.Unchecked,
+		}
+	}
+	return list
+}
+
+func (s *Scene) prepare() error {
+	path := filepath.Join(s.Fleet.Dir, "sheet.csv")
+	if err := os.WriteFile(path, []byte(sheet), 0o600); err != nil {
+		return errors.Wrap(err, "write sheet")
+	}
+	if _, err := s.Fleet.Relay("sheet", "apply", path); err != nil {
+		return err
+	}
+	for i := range keyCount {
+		s.keys = append(s.keys, fmt.Sprintf("bay-%02d", i))
+	}
+	var entries []string
+	for _, vm := range s.Fleet.VMs {
+		entries = append(entries, s.Fleet.EntryURL(vm.Name))
+	}
+	s.Probe = probe.Start(probe.Config{
+		Entries: entries, Service: service, Keys: s.keys, Every: probeEvery, Deadline: probeWait,
+	})
+	return s.Settled()
+}
+
+// Settled waits until every key has been answered anew by now and the standby is named.
+func (s *Scene) Settled() error {
+	from := time.Now()
+	return fleet.Await(settleLimit, func() bool {
+		served := s.Probe.ServedSince(from)
+		record, err := s.Record()
+		return served == len(s.keys) && err == nil && (len(s.Fleet.VMs) == 1 || record.Standby.Name != "")
+	})
+}
+
+// Record is the part of the cell's record that scenes read.
+type Record struct {
+	Epoch      uint64 `json:"epoch"`
+	Controller struct {
+		Name string `json:"name"`
+	} `json:"controller"`
+	Standby struct {
+		Name string `json:"name"`
+	} `json:"standby"`
+}
+
+// Record reads the cell's record from the store.
+func (s *Scene) Record() (Record, error) {
+	var record Record
+	client := http.Client{Timeout: adminTimeout}
+	resp, err := client.Get(s.Fleet.StoreURL() + "/v1/objects/cells/" + Cell)
+	if err != nil {
+		return record, errors.Wrap(err, "read record")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return record, errors.Newf("read record: status %d", resp.StatusCode)
+	}
+	return record, errors.Wrap(json.NewDecoder(resp.Body).Decode(&record), "read record")
+}
+
+// Plain returns a VM that is neither controller nor standby.
+func (s *Scene) Plain() (string, error) {
+	record, err := s.Record()
+	if err != nil {
+		return "", err
+	}
+	for _, vm := range s.Fleet.VMs {
+		if vm.Name != record.Controller.Name && vm.Name != record.Standby.Name {
+			return vm.Name, nil
+		}
+	}
+	return "", errors.New("the cell has no plain node")
+}
+
+// StoreFaults sets the faults of the store stand-in.
+func (s *Scene) StoreFaults(faults store.FaultsMessage) error {
+	return post(s.Fleet.StoreURL()+"/admin/faults", faults)
+}
+
+// TargetFaults sets the faults of a target stand-in.
+func (s *Scene) TargetFaults(vm string, faults target.FaultsMessage) error {
+	return post(s.Fleet.TargetURL(vm)+"/admin/faults", faults)
+}
+
+func post(url string, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	client := http.Client{Timeout: adminTimeout}
+	resp, err := client.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "post")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// CheckLogs reads all execution logs. It fails with ErrOwnership.
+func (s *Scene) CheckLogs() error {
+	var entries []execlog.Entry
+	for _, vm := range s.Fleet.VMs {
+		read, err := readLog(s.Fleet.ExecutionLog(vm.Name))
+		if err != nil {
+			return err
+		}
+		entries = append(entries, read...)
+	}
+	if violations := execlog.Check(entries); len(violations) > 0 {
+		return errors.Wrapf(ErrOwnership, "%d times, first: %v", len(violations), violations[0])
+	}
+	return nil
+}
+
+func readLog(path string) ([]execlog.Entry, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "execution log")
+	}
+	defer file.Close()
+	return execlog.Read(file)
+}
+
+// Close stops the probes and ends every process.
+func (s *Scene) Close() {
+	if s.Probe != nil {
+		s.Probe.Stop()
+	}
+	s.Fleet.KillAll()
+}
