--- /dev/null
+++ b/core/cell/controller.go
@@ -0,0 +1,325 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// grantState is what the controller may have granted and to whom.
+type grantState struct {
+	node  Node
+	fence fence.Fence
+	until time.Duration
+}
+
+// activation is an assignment to a successor that is not yet written in the record.
+type activation struct {
+	owner string
+	seq   uint64
+}
+
+// movement is a planned move: the owner drains the slice, then the record changes.
+type movement struct {
+	to     string
+	reason string
+	// hotKey asks for a slice of its own for this key of the moved slice.
+	hotKey string
+	// seq is the assignment that the move ends.
+	seq   uint64
+	since time.Duration
+}
+
+// release is a slice that its owner has given back.
+type release struct {
+	fence  fence.Fence
+	window []byte
+}
+
+// handover is a window of ids on its way to the next owner. It belongs to one assignment
+// and to the process that is granted it first: a later owner would miss what ran since.
+type handover struct {
+	seq    uint64
+	node   Node
+	window []byte
+}
+
+// memberState is a node of the cell as its controller sees it.
+type memberState struct {
+	Member
+	// seen is when the last heartbeat came, number its number.
+	seen    time.Duration
+	number  uint64
+	leaving bool
+	// reported has the slices that the node held when it first reported to the epoch.
+	reported map[keyspace.SliceID]fence.Fence
+	// set is the present set of grants and setID its number.
+	set   map[keyspace.SliceID]fence.Fence
+	setID uint64
+	// badSince is when the target was first reported unfit, zero when it is fit.
+	badSince time.Duration
+}
+
+// controller is the node's part as the controller of one epoch.
+type controller struct {
+	epoch uint64
+	// authority is the time up to which the controller may grant.
+	authority time.Duration
+	asked     map[uint64]time.Duration
+	askNumber uint64
+	askAt     time.Duration
+	retryAt   time.Duration
+	resigned  bool
+
+	// quiet lasts until every lease of the former controller is known or has lapsed.
+	quiet      bool
+	quietUntil time.Duration
+	// expected has the nodes that have not yet reported to the epoch.
+	expected map[string]bool
+	// since is when the epoch began, from the controller's own view.
+	since time.Duration
+
+	members map[string]*memberState
+	granted map[keyspace.SliceID]grantState
+	active  map[keyspace.SliceID]activation
+	moving  map[keyspace.SliceID]movement
+	freed   map[keyspace.SliceID]release
+	windows map[keyspace.SliceID]handover
+	probed  map[string]time.Duration
+	goneTgt map[string]uint64
+	seq     uint64
+	setID   uint64
+
+	routes routes
+	others others
+	plans  planState
+}
+
+// learnController starts or ends the node's time as the controller.
+func (m *Machine) learnController() {
+	if !m.same(m.rec.Controller) {
+		if m.ctl != nil {
+			m.decide("controller ends", keyspace.SliceID{}, m.self.Name, "the record names another controller")
+			m.emit(Watch{On: false})
+		}
+		m.ctl = nil
+		return
+	}
+	if m.ctl == nil || m.ctl.epoch != m.rec.Epoch {
+		m.becomeController()
+	}
+	m.settleActivations()
+	m.refreshRoutes()
+}
+
+// becomeController starts an epoch. Until the quiet time ends, grants go only to nodes that
+// report holding the slice.
+func (m *Machine) becomeController() {
+	c := &controller{
+		epoch: m.rec.Epoch, since: m.now, askAt: -time.Hour, authority: m.now,
+		quiet: !m.guards.noQuiet, quietUntil: m.now + m.timing.wait(m.timing.Lease),
+		asked:    make(map[uint64]time.Duration),
+		expected: make(map[string]bool),
+		members:  make(map[string]*memberState),
+		granted:  make(map[keyspace.SliceID]grantState),
+		active:   make(map[keyspace.SliceID]activation),
+		moving:   make(map[keyspace.SliceID]movement),
+		freed:    make(map[keyspace.SliceID]release),
+		windows:  make(map[keyspace.SliceID]handover),
+		probed:   make(map[string]time.Duration),
+		goneTgt:  make(map[string]uint64),
+	}
+	c.routes.init(c.epoch)
+	c.plans.init()
+	m.ctl = c
+	for _, n := range m.rec.Nodes {
+		if n.Node != m.rec.Previous {
+			c.expected[n.Name] = true
+		}
+	}
+	m.decide("controller", keyspace.SliceID{}, m.self.Name, "the record names this node")
+	m.emit(Watch{On: true})
+	m.pokeAll()
+}
+
+// pokeAll asks every node of the record to report to this epoch.
+func (m *Machine) pokeAll() {
+	for _, n := range m.rec.Nodes {
+		if n.Name != m.self.Name {
+			m.poke(n)
+		}
+	}
+	m.holder.beatSoon = true
+}
+
+func (m *Machine) poke(to Member) {
+	m.emit(SendPoke{To: to, Poke: Poke{Epoch: m.ctl.epoch, Controller: m.selfMember()}})
+}
+
+// pokeName asks a member for a heartbeat, so that a grant reaches it soon.
+func (m *Machine) pokeName(name string) {
+	if name == m.self.Name {
+		m.holder.beatSoon = true
+		return
+	}
+	if n := m.ctl.members[name]; n != nil {
+		m.poke(n.Member)
+	}
+}
+
+// hasAuthority reports whether the controller may grant and decide.
+func (m *Machine) hasAuthority() bool { return m.now < m.ctl.authority && !m.ctl.resigned }
+
+// gainByWrite extends the authority after a write that is known to have taken effect: a
+// new standby waits, and candidates of a cell without a standby count from that version.
+func (m *Machine) gainByWrite(kind writeKind, sent time.Duration) {
+	if m.ctl == nil || m.ctl.epoch != m.rec.Epoch {
+		return
+	}
+	solo := m.rec.Standby.IsZero()
+	if kind == writeNaming || kind == writeTakeover || solo {
+		m.ctl.authority = max(m.ctl.authority, sent+m.timing.Promise)
+	}
+}
+
+func (m *Machine) controllerTick() {
+	if m.ctl == nil {
+		return
+	}
+	m.askTick()
+	m.namingTick()
+	m.quietTick()
+	m.planTick()
+}
+
+func (m *Machine) askTick() {
+	c := m.ctl
+	if m.rec.Standby.IsZero() || c.resigned || m.now-c.askAt < m.timing.Ask {
+		return
+	}
+	m.ask(false)
+}
+
+func (m *Machine) ask(resign bool) {
+	c := m.ctl
+	c.askAt = m.now
+	c.askNumber++
+	c.asked[c.askNumber] = m.now
+	for number, at := range c.asked {
+		if at < m.now-2*m.timing.Promise {
+			delete(c.asked, number)
+		}
+	}
+	to, _ := m.rec.Node(m.rec.Standby.Name)
+	if n := c.members[m.rec.Standby.Name]; n != nil {
+		to = n.Member
+	}
+	to.Node = m.rec.Standby
+	ask := PromiseAsk{From: m.self, Standby: m.rec.Standby, Epoch: c.epoch, Number: c.askNumber, Resign: resign}
+	m.emit(AskPromise{To: to, Ask: ask})
+}
+
+func (m *Machine) promiseAnswered(a PromiseAnswer) {
+	c := m.ctl
+	if c == nil || a.Epoch != c.epoch || a.From != m.rec.Standby || !a.Promised {
+		return
+	}
+	sent, ok := c.asked[a.Number]
+	if !ok {
+		return
+	}
+	delete(c.asked, a.Number)
+	if m.promiseDoubted(sent) {
+		return
+	}
+	if m.guards.noDateByRequest {
+		sent = m.now
+	}
+	c.authority = max(c.authority, sent+m.timing.Promise)
+}
+
+// promiseDoubted reports whether a promise asked at the time may come from a node that a
+// write in doubt has already replaced as the standby.
+func (m *Machine) promiseDoubted(sent time.Duration) bool {
+	if !m.inDoubt(writeNaming) || m.guards.oldPromiseInDoubt {
+		return false
+	}
+	return sent >= m.write.sent[0]
+}
+
+// namingTick names a standby when there is none, replaces a silent one, and renews the
+// record of a cell that has none.
+func (m *Machine) namingTick() {
+	c := m.ctl
+	if m.write != nil || m.now < c.retryAt || c.resigned {
+		return
+	}
+	current := m.rec.Standby
+	left := c.authority - m.now
+	best := m.bestStandby()
+	switch {
+	case current.IsZero() && !best.IsZero():
+		m.nameStandby(best, "the cell has no standby")
+	case !current.IsZero() && (left < m.timing.Promise/2 || m.standbyReplaced()):
+		m.nameStandby(best, "the standby does not promise")
+	case current.IsZero() && left < m.timing.Promise*2/3:
+		m.put(writeRenew, m.version, m.rec.Clone(), nil)
+	}
+}
+
+// standbyReplaced reports whether the standby's VM runs another incarnation now.
+func (m *Machine) standbyReplaced() bool {
+	n := m.ctl.members[m.rec.Standby.Name]
+	return n != nil && n.Node != m.rec.Standby
+}
+
+// bestStandby returns a live node other than the present standby, in another failure domain
+// if there is one; nobody when no other node is live.
+func (m *Machine) bestStandby() Node {
+	best, bestRank := Node{}, -1
+	for _, name := range sortedNames(m.ctl.members) {
+		n := m.ctl.members[name]
+		if name == m.self.Name || n.Node == m.rec.Standby || n.leaving || !m.live(n) {
+			continue
+		}
+		rank := 0
+		if n.FailureDomain != m.cfg.Self.FailureDomain {
+			rank = 1
+		}
+		if rank > bestRank {
+			best, bestRank = n.Node, rank
+		}
+	}
+	return best
+}
+
+// live reports whether the node sent a heartbeat lately.
+func (m *Machine) live(n *memberState) bool { return m.now-n.seen < 3*m.timing.Heartbeat }
+
+func (m *Machine) nameStandby(to Node, reason string) {
+	r := m.rec.Clone()
+	r.Standby = to
+	r.Naming++
+	if n := m.ctl.members[to.Name]; n != nil {
+		r.putNode(n.Member)
+	}
+	m.decide("name standby", keyspace.SliceID{}, to.Name, reason)
+	m.put(writeNaming, m.version, r, nil)
+}
+
+// quietTick ends the quiet time early once every node that may hold a lease has reported.
+func (m *Machine) quietTick() {
+	c := m.ctl
+	if !c.quiet {
+		return
+	}
+	switch {
+	case c.expected != nil && len(c.expected) == 0:
+		c.quiet = false
+		m.decide("quiet time ends", keyspace.SliceID{}, m.self.Name, "every node has reported")
+	case m.now > c.quietUntil:
+		c.quiet = false
+		m.decide("quiet time ends", keyspace.SliceID{}, m.self.Name, "former leases have lapsed")
+	}
+}
--- /dev/null
+++ b/core/cell/draft.go
@@ -0,0 +1,219 @@
+package cell
+
+import (
+	"slices"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/placement"
+)
+
+// draft returns the next record and the slices that it assigns anew; nil when nothing
+// needs to be written.
+func (m *Machine) draft() (*Record, map[keyspace.SliceID]bool) {
+	r := m.rec.Clone()
+	touched := make(map[keyspace.SliceID]bool)
+	changed := m.draftActivations(r)
+	changed = m.draftSheet(r) || changed
+	changed = m.draftReleased(r, touched) || changed
+	changed = m.draftLost(r, touched) || changed
+	changed = m.draftTargets(r) || changed
+	if changed || m.ctl.plans.dirty {
+		changed = m.draftSuccessors(r) || changed
+		changed = m.draftNodes(r) || changed
+		m.ctl.plans.dirty = false
+	}
+	if !changed {
+		return nil, nil
+	}
+	r.Seq = max(r.Seq, m.ctl.seq)
+	return r, touched
+}
+
+func (m *Machine) draftActivations(r *Record) bool {
+	for _, id := range sortedSlices(m.ctl.active) {
+		act := m.ctl.active[id]
+		if a := r.assignment(id); a != nil {
+			*a = Assignment{Owner: act.owner, Seq: act.seq}
+			m.decide("write activation", id, act.owner, "the store answers again")
+		}
+	}
+	return len(m.ctl.active) > 0
+}
+
+// assign gives the slice to a node under a new number.
+func (m *Machine) assign(a *Assignment, id keyspace.SliceID, to string, touched map[keyspace.SliceID]bool) {
+	a.Owner = to
+	if a.Successor == to {
+		a.Successor = ""
+	}
+	a.Seq = m.nextSeq()
+	touched[id] = true
+}
+
+// draftReleased assigns the slices that their owners have given back.
+func (m *Machine) draftReleased(r *Record, touched map[keyspace.SliceID]bool) bool {
+	c := m.ctl
+	changed := false
+	for _, id := range sortedSlices(c.freed) {
+		a := r.assignment(id)
+		if a == nil || !lower(fenceOf(c.epoch, c.routes.slices[id].seq), c.freed[id].fence) {
+			continue
+		}
+		if _, active := c.active[id]; active {
+			continue
+		}
+		m.assignReleased(r, a, id, touched)
+		changed = true
+	}
+	return changed
+}
+
+func (m *Machine) assignReleased(r *Record, a *Assignment, id keyspace.SliceID, touched map[keyspace.SliceID]bool) {
+	c := m.ctl
+	mv, moving := c.moving[id]
+	to, reason := a.Owner, "released without a move"
+	if moving {
+		to, reason = mv.to, mv.reason
+	}
+	if n := c.members[to]; n == nil || !m.fit(n) {
+		to = m.substitute(id, a)
+	}
+	m.assign(a, id, to, touched)
+	window := c.freed[id].window
+	c.windows[id] = handover{seq: a.Seq, window: window}
+	m.decide("assign slice", id, to, reason)
+	if moving && mv.hotKey != "" {
+		m.addHot(r, id, mv.hotKey, to, window, touched)
+	}
+}
+
+// substitute picks an owner when the one that was meant is not fit any more.
+func (m *Machine) substitute(id keyspace.SliceID, a *Assignment) string {
+	moves := placement.Assign(m.problem(), func(s placement.Slice) bool { return s.ID == id })
+	if len(moves) > 0 {
+		return moves[0].To
+	}
+	if n := m.ctl.members[a.Owner]; n != nil && m.fit(n) {
+		return a.Owner
+	}
+	return ""
+}
+
+// addHot gives a key of the released slice a slice of its own on the least loaded node.
+func (m *Machine) addHot(r *Record, base keyspace.SliceID, key, owner string, window []byte, touched map[keyspace.SliceID]bool) {
+	for i := range r.Ranges {
+		rr := &r.Ranges[i]
+		if rr.Range.ID() != base.Range || slices.Contains(rr.Hot, key) {
+			continue
+		}
+		id := keyspace.SliceID{Range: base.Range, Index: uint32(len(rr.Slices))}
+		rr.Hot = append(rr.Hot, key)
+		rr.Slices = append(rr.Slices, Assignment{})
+		a := &rr.Slices[len(rr.Slices)-1]
+		to := m.coolest(rr.Range.Targets, owner)
+		m.assign(a, id, to, touched)
+		m.ctl.windows[id] = handover{seq: a.Seq, window: window}
+		m.decide("split hot key", id, to, "one key carries most of its slice's work")
+	}
+}
+
+// coolest returns the least loaded fit node that the patterns allow, or the owner.
+func (m *Machine) coolest(targets []string, owner string) string {
+	p := m.problem()
+	id := keyspace.SliceID{}
+	p.Slices = append(p.Slices, placement.Slice{ID: id, Targets: targets})
+	for _, mv := range placement.Assign(p, func(s placement.Slice) bool { return s.ID == id }) {
+		return mv.To
+	}
+	return owner
+}
+
+// draftLost assigns the slices that nobody owns or whose owner is lost.
+func (m *Machine) draftLost(r *Record, touched map[keyspace.SliceID]bool) bool {
+	reasons := make(map[keyspace.SliceID]string)
+	r.each(func(id keyspace.SliceID, _ *RangeRecord, a *Assignment) {
+		if _, active := m.ctl.active[id]; active || touched[id] {
+			return
+		}
+		rt, known := m.ctl.routes.slices[id]
+		if !known {
+			rt = route{owner: a.Owner}
+		}
+		if lost, reason := m.ownerLost(id, rt); lost {
+			reasons[id] = reason
+		}
+	})
+	if len(reasons) == 0 {
+		return false
+	}
+	p := m.problemOf(r)
+	changed := false
+	for _, mv := range placement.Assign(p, func(s placement.Slice) bool { _, ok := reasons[s.ID]; return ok }) {
+		m.assign(r.assignment(mv.ID), mv.ID, mv.To, touched)
+		m.decide("assign slice", mv.ID, mv.To, reasons[mv.ID])
+		changed = true
+	}
+	return changed
+}
+
+// problemOf is the problem of a drafted record, whose ranges may differ from the present.
+func (m *Machine) problemOf(r *Record) placement.Problem {
+	p := m.problem()
+	p.Slices = nil
+	r.each(func(id keyspace.SliceID, rr *RangeRecord, a *Assignment) {
+		p.Slices = append(p.Slices, placement.Slice{
+			ID: id, Owner: a.Owner, Successor: a.Successor,
+			Work: m.ctl.plans.loads.work(id, m.now), Targets: rr.Range.Targets,
+		})
+	})
+	return p
+}
+
+func (m *Machine) draftSuccessors(r *Record) bool {
+	changed := false
+	for _, s := range placement.Successors(m.problemOf(r)) {
+		if a := r.assignment(s.ID); a != nil && a.Successor != s.Successor {
+			a.Successor = s.Successor
+			changed = true
+		}
+	}
+	return changed
+}
+
+// draftTargets writes down target processes that do not check fences before their nodes
+// are granted anything.
+func (m *Machine) draftTargets(r *Record) bool {
+	changed := false
+	for _, name := range sortedNames(m.ctl.members) {
+		n := m.ctl.members[name]
+		if m.live(n) && !m.targetRecorded(n) {
+			r.putNode(n.Member)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// draftNodes lists the live nodes and those that the record still needs.
+func (m *Machine) draftNodes(r *Record) bool {
+	needed := map[string]bool{r.Controller.Name: true, r.Standby.Name: true}
+	r.each(func(_ keyspace.SliceID, _ *RangeRecord, a *Assignment) {
+		needed[a.Owner] = true
+		needed[a.Successor] = true
+	})
+	changed := false
+	for _, name := range sortedNames(m.ctl.members) {
+		n := m.ctl.members[name]
+		old, had := r.Node(name)
+		if m.live(n) && (!had || old.Node != n.Node || old.Target.State != n.Target.State) {
+			r.putNode(n.Member)
+			changed = true
+		}
+	}
+	count := len(r.Nodes)
+	r.Nodes = slices.DeleteFunc(r.Nodes, func(n Member) bool {
+		s := m.ctl.members[n.Name]
+		return !needed[n.Name] && (s == nil || !m.live(s))
+	})
+	return changed || len(r.Nodes) != count
+}
--- /dev/null
+++ b/core/cell/effects.go
@@ -0,0 +1,116 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// Effect is something that the carrier does for the machine.
+type Effect interface{ effect() }
+
+// SendHeartbeat sends a heartbeat; the answer comes back as HeartbeatAnswered.
+type SendHeartbeat struct {
+	To        Member
+	Heartbeat Heartbeat
+}
+
+// AnswerHeartbeat answers the heartbeat that the step was about.
+type AnswerHeartbeat struct {
+	To     Node
+	Answer Answer
+}
+
+// AskPromise asks the standby; the answer comes back as PromiseAnswered.
+type AskPromise struct {
+	To  Member
+	Ask PromiseAsk
+}
+
+// AnswerPromise answers the request for a promise that the step was about.
+type AnswerPromise struct {
+	To     Node
+	Answer PromiseAnswer
+}
+
+// SendPoke asks a node for a heartbeat.
+type SendPoke struct {
+	To   Member
+	Poke Poke
+}
+
+// ReadRecord reads the cell's record; the result comes back as RecordRead.
+type ReadRecord struct{}
+
+// WriteRecord writes the cell's record if its version is Expected (zero: it must not exist).
+type WriteRecord struct {
+	ID       string
+	Expected int64
+	Record   *Record
+}
+
+// Watch starts or ends the watches of the accepted sheet and of the other cells' records;
+// results come as SheetRead and CellsRead.
+type Watch struct{ On bool }
+
+// Adoption is a new or renewed lease.
+type Adoption struct {
+	Slice  keyspace.SliceID
+	Fence  fence.Fence
+	Until  time.Duration
+	Window []byte
+}
+
+// AdoptLeases hands leases to the request side.
+type AdoptLeases struct{ Leases []Adoption }
+
+// EndLeases tells the request side to stop serving slices at once.
+type EndLeases struct {
+	Slices []keyspace.SliceID
+	Reason string
+}
+
+// DrainSlice tells the request side to hand a slice back; SliceDrained follows.
+type DrainSlice struct{ Slice keyspace.SliceID }
+
+// TableChanged tells that a route may have changed.
+type TableChanged struct{}
+
+// ProbePeer checks whether a node's process is gone; PeerGone may follow.
+type ProbePeer struct{ Peer Member }
+
+// ProbeTarget checks whether a target's process is gone; TargetGone may follow.
+type ProbeTarget struct {
+	Name        string
+	Incarnation uint64
+	Address     string
+}
+
+// LeaveDone tells that nothing names this node any more.
+type LeaveDone struct{}
+
+// Decision is a line for the log: what was decided, about what, and why.
+type Decision struct {
+	What   string
+	Slice  keyspace.SliceID
+	Node   string
+	Reason string
+}
+
+func (SendHeartbeat) effect()   {}
+func (AnswerHeartbeat) effect() {}
+func (AskPromise) effect()      {}
+func (AnswerPromise) effect()   {}
+func (SendPoke) effect()        {}
+func (ReadRecord) effect()      {}
+func (WriteRecord) effect()     {}
+func (Watch) effect()           {}
+func (AdoptLeases) effect()     {}
+func (EndLeases) effect()       {}
+func (DrainSlice) effect()      {}
+func (TableChanged) effect()    {}
+func (ProbePeer) effect()       {}
+func (ProbeTarget) effect()     {}
+func (LeaveDone) effect()       {}
+func (Decision) effect()        {}
--- /dev/null
+++ b/core/cell/events.go
@@ -0,0 +1,121 @@
+package cell
+
+import (
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// Event is something that happened to the node.
+type Event interface{ event() }
+
+// ReadStatus says how a read of the record ended.
+type ReadStatus uint8
+
+const (
+	// ReadFound means that the record was read.
+	ReadFound ReadStatus = iota + 1
+	// ReadAbsent means that the cell has no record yet.
+	ReadAbsent
+	// ReadFailed means that the store did not answer.
+	ReadFailed
+)
+
+// WriteStatus says how a conditional write of the record ended.
+type WriteStatus uint8
+
+const (
+	// WriteDone means that the write took effect.
+	WriteDone WriteStatus = iota + 1
+	// WriteConflict means that the version had moved; nothing was written.
+	WriteConflict
+	// WriteUnknown means that the write may take effect, now or later.
+	WriteUnknown
+	// WriteUnavailable means that the store was not reached; nothing was written.
+	WriteUnavailable
+)
+
+// Tick passes time; the carrier sends one every TickInterval.
+type Tick struct{}
+
+// RecordRead is the result of a ReadRecord effect.
+type RecordRead struct {
+	Status  ReadStatus
+	Version int64
+	WriteID string
+	Record  *Record
+}
+
+// RecordWritten is the result of a WriteRecord effect.
+type RecordWritten struct {
+	ID      string
+	Status  WriteStatus
+	Version int64
+}
+
+// HeartbeatReceived is a heartbeat that reached this node.
+type HeartbeatReceived struct{ Heartbeat Heartbeat }
+
+// HeartbeatAnswered is an answer to one of this node's heartbeats.
+type HeartbeatAnswered struct{ Answer Answer }
+
+// PromiseAsked is a controller's request to this node.
+type PromiseAsked struct{ Ask PromiseAsk }
+
+// PromiseAnswered is a standby's reply to this node.
+type PromiseAnswered struct{ Answer PromiseAnswer }
+
+// Poked is a controller's wish for a heartbeat.
+type Poked struct{ Poke Poke }
+
+// SheetRead is an accepted sheet; its layout's version is the sheet's version in the store.
+type SheetRead struct{ Layout *keyspace.Layout }
+
+// CellsRead is the state of the other cells' records at a version of the store.
+type CellsRead struct {
+	Version int64
+	Cells   []OtherCell
+}
+
+// TargetReported is the local target's state and the work measured since the last report.
+type TargetReported struct {
+	Target Target
+	Loads  []SliceLoad
+}
+
+// SliceDrained tells that nothing of a drained slice runs any more.
+type SliceDrained struct {
+	Slice  keyspace.SliceID
+	Window []byte
+}
+
+// PeerGone tells that the process is known to have ended: its VM refused the connection or
+// its address answered under another incarnation.
+type PeerGone struct{ Node Node }
+
+// TargetGone tells that a target's process is known to have ended.
+type TargetGone struct {
+	Name        string
+	Incarnation uint64
+}
+
+// ClockJumped tells that the clocks disagree, so that no lease can be trusted.
+type ClockJumped struct{}
+
+// LeaveAsked starts this node's planned leave.
+type LeaveAsked struct{}
+
+func (Tick) event()              {}
+func (RecordRead) event()        {}
+func (RecordWritten) event()     {}
+func (HeartbeatReceived) event() {}
+func (HeartbeatAnswered) event() {}
+func (PromiseAsked) event()      {}
+func (PromiseAnswered) event()   {}
+func (Poked) event()             {}
+func (SheetRead) event()         {}
+func (CellsRead) event()         {}
+func (TargetReported) event()    {}
+func (SliceDrained) event()      {}
+func (PeerGone) event()          {}
+func (TargetGone) event()        {}
+func (ClockJumped) event()       {}
+func (LeaveAsked) event()        {}
--- /dev/null
+++ b/core/cell/grants.go
@@ -0,0 +1,283 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// suspectAfter is how long a target may look unfit before its slices move.
+const suspectAfter = time.Second
+
+// heartbeatReceived notes what the node reports and answers with grants and news.
+func (m *Machine) heartbeatReceived(h Heartbeat) {
+	a := Answer{Number: h.Number, Epoch: m.epoch, Controller: m.leader}
+	if m.ctl != nil {
+		a.Epoch, a.Controller = m.ctl.epoch, m.selfMember()
+	}
+	if m.ctl != nil && h.Epoch == m.ctl.epoch {
+		if n := m.note(h); n != nil && m.hasAuthority() {
+			m.answer(&a, h, n)
+		}
+	}
+	m.emit(AnswerHeartbeat{To: h.From.Node, Answer: a})
+}
+
+// note takes a heartbeat into the controller's view. It returns nil for one that is older
+// than what was already seen.
+func (m *Machine) note(h Heartbeat) *memberState {
+	c := m.ctl
+	n := c.members[h.From.Name]
+	if n != nil && n.Node != h.From.Node {
+		if h.From.Incarnation < n.Incarnation && m.now-n.seen < 2*m.timing.Lease {
+			return nil
+		}
+		n = nil
+	}
+	if n == nil {
+		n = m.join(h)
+	}
+	if h.Number <= n.number {
+		return nil
+	}
+	n.number = h.Number
+	n.seen = m.now
+	n.leaving = h.Leaving
+	if n.Target.Incarnation != h.From.Target.Incarnation || n.Target.State != h.From.Target.State {
+		c.plans.dirty = true
+		c.routes.membersChanged()
+	}
+	n.Member = h.From
+	m.noteTarget(n)
+	m.noteHeld(n, h)
+	m.noteReleases(n, h.Released)
+	c.plans.addLoads(m.now, h.Loads)
+	return n
+}
+
+func (m *Machine) join(h Heartbeat) *memberState {
+	n := &memberState{Member: h.From, set: make(map[keyspace.SliceID]fence.Fence)}
+	m.ctl.members[h.From.Name] = n
+	m.ctl.plans.dirty = true
+	m.ctl.plans.joinedAt = m.now
+	m.ctl.routes.membersChanged()
+	m.decide("node joins", keyspace.SliceID{}, h.From.Name, "first heartbeat of the epoch")
+	return n
+}
+
+func (m *Machine) noteTarget(n *memberState) {
+	switch n.Target.State {
+	case TargetReady, TargetStarting:
+		n.badSince = 0
+	default:
+		if n.badSince == 0 {
+			n.badSince = m.now
+		}
+	}
+}
+
+// noteHeld takes a node's first report to the epoch: from then on the node refuses what a
+// former controller sends, so the list bounds its leases.
+func (m *Machine) noteHeld(n *memberState, h Heartbeat) {
+	c := m.ctl
+	if n.reported != nil || h.Set != 0 {
+		return
+	}
+	n.reported = make(map[keyspace.SliceID]fence.Fence)
+	delete(c.expected, n.Name)
+	for _, held := range h.Held {
+		g, ok := c.granted[held.Slice]
+		if ok && g.node != n.Node && g.until > m.now {
+			m.decide("two holders reported", held.Slice, n.Name, "kept the first report")
+			continue
+		}
+		n.reported[held.Slice] = held.Fence
+		c.granted[held.Slice] = grantState{node: n.Node, fence: held.Fence, until: m.now + m.timing.wait(m.timing.Lease)}
+		m.adoptActivation(held, n.Name)
+	}
+	m.quietTick()
+}
+
+// adoptActivation keeps a slice with the successor that a former controller activated.
+func (m *Machine) adoptActivation(held HeldSlice, name string) {
+	a := m.rec.assignment(held.Slice)
+	if a == nil || a.Owner == name || a.Successor != name {
+		return
+	}
+	m.ctl.active[held.Slice] = activation{owner: name, seq: m.nextSeq()}
+	m.refreshRoutes()
+}
+
+func (m *Machine) noteReleases(n *memberState, released []Release) {
+	c := m.ctl
+	for _, r := range released {
+		g, ok := c.granted[r.Slice]
+		if ok && (g.node != n.Node || r.Fence.Less(g.fence)) {
+			continue
+		}
+		if f, done := c.freed[r.Slice]; done && lower(r.Fence, f.fence) {
+			continue
+		}
+		delete(c.granted, r.Slice)
+		delete(n.reported, r.Slice)
+		c.freed[r.Slice] = release{fence: r.Fence, window: r.Window}
+		c.plans.dirty = true
+		m.decide("slice released", r.Slice, n.Name, "drained by its owner")
+	}
+}
+
+// answer fills in an accepted answer.
+func (m *Machine) answer(a *Answer, h Heartbeat, n *memberState) {
+	a.Accepted = true
+	a.Taken = h.Released
+	a.For = m.leaseFor(n)
+	a.Needs = m.ctl.routes.hotVersion
+	m.grant(a, h, n)
+	a.Drain = m.drainsOf(n)
+	a.Table = m.ctl.routes.delta(h.Table, m.ctl.members)
+	if m.sheet != nil && m.sheet.Version > h.SheetVersion {
+		a.Sheet = m.sheet
+	}
+	a.Cells = m.ctl.others.delta(m.ctl.epoch, h.Cells)
+	a.Left = n.leaving && m.nothingLeft(n)
+}
+
+// leaseFor bounds a lease; the controller's own ends with its authority.
+func (m *Machine) leaseFor(n *memberState) time.Duration {
+	if n.Name != m.self.Name || m.guards.unboundOwnLease {
+		return m.timing.Lease
+	}
+	return min(m.timing.Lease, m.ctl.authority-m.now)
+}
+
+// grant brings the node's set of grants up to date and renews it.
+func (m *Machine) grant(a *Answer, h Heartbeat, n *memberState) {
+	c := m.ctl
+	set := m.grantsOf(n)
+	if n.setID == 0 || !sameSet(set, n.set) {
+		c.setID++
+		n.set, n.setID = set, c.setID
+	}
+	for id, f := range set {
+		c.granted[id] = grantState{node: n.Node, fence: f, until: m.now + m.timing.wait(m.timing.Lease)}
+	}
+	a.Set = n.setID
+	if h.Set == n.setID {
+		return
+	}
+	a.Full = true
+	for _, id := range sortedSlices(set) {
+		a.Grants = append(a.Grants, Grant{Slice: id, Fence: set[id], Window: m.windowFor(id, n.Node)})
+	}
+}
+
+// windowFor returns the ids handed over with the slice's present assignment, for the first
+// process that is granted it.
+func (m *Machine) windowFor(id keyspace.SliceID, to Node) []byte {
+	h, ok := m.ctl.windows[id]
+	if !ok || h.seq != m.ctl.routes.slices[id].seq {
+		return nil
+	}
+	if h.node.IsZero() {
+		h.node = to
+		m.ctl.windows[id] = h
+	}
+	if h.node != to {
+		return nil
+	}
+	return h.window
+}
+
+// grantsOf returns what the node may hold now.
+func (m *Machine) grantsOf(n *memberState) map[keyspace.SliceID]fence.Fence {
+	c := m.ctl
+	set := make(map[keyspace.SliceID]fence.Fence)
+	if m.withheld(n) {
+		return set
+	}
+	for _, id := range c.routes.owned[n.Name] {
+		if f, ok := m.grantable(id, n); ok {
+			set[id] = f
+		}
+	}
+	return set
+}
+
+// grantable reports whether the owner may be granted the slice now, and its fence.
+func (m *Machine) grantable(id keyspace.SliceID, n *memberState) (fence.Fence, bool) {
+	c := m.ctl
+	f := fenceOf(c.epoch, c.routes.slices[id].seq)
+	if c.quiet && !m.guards.grantUnreported {
+		if _, held := n.reported[id]; !held {
+			return f, false
+		}
+	}
+	if g, ok := c.granted[id]; ok && g.node != n.Node && g.until > m.now && !m.guards.noLapseWait {
+		return f, false
+	}
+	if freed, ok := c.freed[id]; ok && lower(f, freed.fence) {
+		return f, false
+	}
+	if !m.targetRecorded(n) {
+		return f, false
+	}
+	if _, active := c.active[id]; !active && m.write != nil && m.write.slices[id] {
+		return f, false
+	}
+	return f, true
+}
+
+// targetRecorded reports whether the record names the node's target process, if that does
+// not check fences: a later controller must know which process may still run a request.
+func (m *Machine) targetRecorded(n *memberState) bool {
+	if n.Target.ChecksFences || n.Target.Incarnation == 0 {
+		return true
+	}
+	r, ok := m.rec.Node(n.Name)
+	return ok && r.Target.Incarnation == n.Target.Incarnation && !r.Target.ChecksFences
+}
+
+// withheld reports whether the node's target has looked frozen for a while and refuses
+// lapsed grants itself, so that its leases may lapse while it is frozen.
+func (m *Machine) withheld(n *memberState) bool {
+	return n.Target.State == TargetSuspect && n.Target.ChecksFences && m.now-n.badSince > suspectAfter
+}
+
+func (m *Machine) drainsOf(n *memberState) []keyspace.SliceID {
+	var drain []keyspace.SliceID
+	for _, id := range sortedSlices(m.ctl.moving) {
+		if _, granted := n.set[id]; granted {
+			drain = append(drain, id)
+		}
+	}
+	return drain
+}
+
+// nothingLeft reports whether neither the record nor a grant names the node.
+func (m *Machine) nothingLeft(n *memberState) bool {
+	if len(n.set) > 0 || n.Node == m.rec.Standby {
+		return false
+	}
+	if n.Name == m.self.Name {
+		return false
+	}
+	for _, g := range m.ctl.granted {
+		if g.node == n.Node && g.until > m.now {
+			return false
+		}
+	}
+	return len(m.ctl.routes.owned[n.Name]) == 0
+}
+
+func sameSet(a, b map[keyspace.SliceID]fence.Fence) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, f := range a {
+		if b[id] != f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/cell/moves.go
@@ -0,0 +1,185 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/placement"
+)
+
+const (
+	// drainingMax bounds the slices that are drained at one time for balance, as a share.
+	drainingMax = 0.125
+	// churnPerMinute bounds planned moves for balance, as a share of the cell's slices.
+	churnPerMinute = 0.02
+	// hotWork is the slot time per second of one key that earns it a slice, in milliseconds.
+	hotWork = 500
+	// hotShareMin is the least share of its slice's work of such a key, in thousandths.
+	hotShareMin = 500
+	// hotKeysMax bounds the keys with a slice of their own in one range.
+	hotKeysMax = 32
+)
+
+// startMove asks the owner to drain the slice.
+func (m *Machine) startMove(id keyspace.SliceID, to, reason, hotKey string) {
+	c := m.ctl
+	if _, busy := c.moving[id]; busy {
+		return
+	}
+	r := c.routes.slices[id]
+	c.moving[id] = movement{to: to, reason: reason, hotKey: hotKey, seq: r.seq, since: m.now}
+	m.decide("move slice", id, to, reason)
+	m.refreshRoutes()
+	m.pokeName(r.owner)
+}
+
+// planMoves starts the planned moves that the present state asks for.
+func (m *Machine) planMoves() {
+	p := m.problem()
+	if len(p.Nodes) == 0 {
+		m.emptyLeaving(p)
+		return
+	}
+	m.moveAway(p)
+	if m.now-m.membersSince() < settleTime {
+		return
+	}
+	limit := max(1, int(drainingMax*float64(len(p.Slices)))) - len(m.ctl.moving)
+	for _, mv := range placement.Fill(m.pinned(p), limit) {
+		m.startMove(mv.ID, mv.To, mv.Reason, "")
+	}
+	m.splitHot()
+	m.balance()
+}
+
+// membersSince returns when the youngest member was first seen.
+func (m *Machine) membersSince() time.Duration { return m.ctl.plans.joinedAt }
+
+// pinned marks the slices of p that have begun to move since it was made.
+func (m *Machine) pinned(p placement.Problem) placement.Problem {
+	for i := range p.Slices {
+		_, moving := m.ctl.moving[p.Slices[i].ID]
+		_, granted := m.ctl.granted[p.Slices[i].ID]
+		p.Slices[i].Pinned = moving || !granted
+	}
+	return p
+}
+
+// moveAway drains what nodes that leave, have no target, or are no longer allowed own.
+func (m *Machine) moveAway(p placement.Problem) {
+	needs := func(s placement.Slice) bool {
+		_, granted := m.ctl.granted[s.ID]
+		return !s.Pinned && granted && m.mustLeave(s)
+	}
+	for _, mv := range placement.Assign(p, needs) {
+		m.startMove(mv.ID, mv.To, m.leaveReason(mv.From), "")
+	}
+}
+
+func (m *Machine) mustLeave(s placement.Slice) bool {
+	n := m.ctl.members[s.Owner]
+	if n == nil || !m.live(n) {
+		return false
+	}
+	return n.leaving || m.unfit(n) || !placement.Allowed(s.Targets, s.Owner)
+}
+
+// unfit reports whether the node's target takes no work for good.
+func (m *Machine) unfit(n *memberState) bool {
+	switch n.Target.State {
+	case TargetDraining:
+		return true
+	case TargetAbsent:
+		return m.now-n.badSince > suspectAfter
+	default:
+		return false
+	}
+}
+
+func (m *Machine) leaveReason(owner string) string {
+	n := m.ctl.members[owner]
+	switch {
+	case n != nil && n.leaving:
+		return "its owner leaves"
+	case n != nil && m.unfit(n):
+		return "its owner's target takes no work"
+	default:
+		return "the sheet no longer allows its owner"
+	}
+}
+
+// emptyLeaving drains a leaving node although nobody else can take its slices.
+func (m *Machine) emptyLeaving(p placement.Problem) {
+	for _, s := range p.Slices {
+		n := m.ctl.members[s.Owner]
+		if _, granted := m.ctl.granted[s.ID]; n != nil && n.leaving && granted {
+			m.startMove(s.ID, "", "its owner leaves and no other node is ready", "")
+		}
+	}
+}
+
+// balance moves measured work, within the churn budget.
+func (m *Machine) balance() {
+	c := m.ctl
+	if m.now-c.plans.churnAt > time.Minute {
+		c.plans.churnAt, c.plans.churned = m.now, 0
+	}
+	p := m.pinned(m.problem())
+	budget := max(1, int(churnPerMinute*float64(len(p.Slices)))) - c.plans.churned
+	if budget <= 0 || len(c.moving) > 0 {
+		return
+	}
+	for _, mv := range placement.Balance(p, budget) {
+		m.startMove(mv.ID, mv.To, mv.Reason, "")
+		c.plans.churned++
+	}
+}
+
+// splitHot gives keys that carry much work a slice of their own. The base slice is drained
+// and granted again, so that no request of the key is left under it.
+func (m *Machine) splitHot() {
+	c := m.ctl
+	for _, id := range sortedSlices(c.plans.loads.slices) {
+		w := c.plans.loads.slices[id]
+		work := c.plans.loads.work(id, m.now) * float64(w.hotShare) / 1000
+		if w.hotKey == "" || w.hotShare < hotShareMin || work < hotWork || !m.splittable(id, w.hotKey) {
+			continue
+		}
+		m.startMove(id, c.routes.slices[id].owner, "one key carries most of the slice's work", w.hotKey)
+	}
+}
+
+func (m *Machine) splittable(id keyspace.SliceID, key string) bool {
+	c := m.ctl
+	if _, granted := c.granted[id]; !granted {
+		return false
+	}
+	for i := range m.rec.Ranges {
+		rr := &m.rec.Ranges[i]
+		if rr.Range.ID() != id.Range {
+			continue
+		}
+		return id.Index < rr.Range.Slices && len(rr.Hot) < hotKeysMax && rr.Range.SliceOf(key) == id
+	}
+	return false
+}
+
+// leaveTick hands the controller's part to the standby when this node leaves and owns
+// nothing any more.
+func (m *Machine) leaveTick() {
+	c := m.ctl
+	if !m.leaving || len(c.routes.owned[m.self.Name]) > 0 || len(m.holder.held) > 0 {
+		return
+	}
+	if c.resigned || m.rec.Standby.IsZero() {
+		c.resigned = true
+		m.leaveDone()
+		return
+	}
+	if m.write != nil {
+		return
+	}
+	c.resigned = true
+	m.decide("resign", keyspace.SliceID{}, m.self.Name, "this node leaves")
+	m.ask(true)
+}
--- /dev/null
+++ b/core/cell/plan.go
@@ -0,0 +1,202 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/placement"
+)
+
+const (
+	// planInterval is the time between two looks at the placement.
+	planInterval = 100 * time.Millisecond
+	// graceForPrevious lets the former controller report before its slices move.
+	graceForPrevious = 300 * time.Millisecond
+	// forgetAfter is when a silent node without slices is no longer a member.
+	forgetAfter = 10 * time.Second
+	// settleTime is how long members must stay the same before planned moves start.
+	settleTime = 500 * time.Millisecond
+	// probeInterval is the time between two probes of a lost node's target.
+	probeInterval = 500 * time.Millisecond
+)
+
+// planState is what the controller remembers between decisions on placement.
+type planState struct {
+	dirty bool
+	// adopting tells that the sheet gives ranges to the cell that it has not taken yet.
+	adopting bool
+	at       time.Duration
+	joinedAt time.Duration
+	loads    loads
+	// churnAt and churned count planned moves for balance in the present minute.
+	churnAt time.Duration
+	churned int
+}
+
+func (p *planState) init() {
+	p.at = -time.Hour
+	p.adopting = true
+	p.dirty = true
+	p.loads.init()
+}
+
+func (p *planState) addLoads(now time.Duration, loads []SliceLoad) { p.loads.add(now, loads) }
+
+// planTick moves slices of lost nodes, starts planned moves and writes what changed.
+func (m *Machine) planTick() {
+	c := m.ctl
+	if c.quiet || !m.hasAuthority() || m.now-c.plans.at < planInterval {
+		return
+	}
+	c.plans.at = m.now
+	m.forgetMembers()
+	if m.storeDown {
+		m.activate()
+	}
+	m.leaveTick()
+	if m.write != nil || m.now < c.retryAt || c.resigned {
+		return
+	}
+	m.planMoves()
+	if next, touched := m.draft(); next != nil {
+		m.put(writePlan, m.version, next, touched)
+	}
+}
+
+func (m *Machine) forgetMembers() {
+	c := m.ctl
+	for _, name := range sortedNames(c.members) {
+		n := c.members[name]
+		if m.now-n.seen > forgetAfter && len(c.routes.owned[name]) == 0 {
+			delete(c.members, name)
+			c.routes.membersChanged()
+			c.plans.dirty = true
+			m.decide("node leaves", keyspace.SliceID{}, name, "silent and owns nothing")
+		}
+	}
+}
+
+// ownerLost reports whether a slice without a live grant must go to another node, and why.
+func (m *Machine) ownerLost(id keyspace.SliceID, r route) (bool, string) {
+	c := m.ctl
+	if r.owner == "" {
+		return true, "nobody owns it"
+	}
+	if g, ok := c.granted[id]; ok && g.until > m.now && !m.guards.noLapseWait {
+		return false, ""
+	}
+	n := c.members[r.owner]
+	reason := ""
+	switch {
+	case n == nil && m.now-c.since > graceForPrevious:
+		reason = "its owner did not report to the epoch"
+	case n != nil && m.now-n.seen > m.timing.wait(m.timing.Lease):
+		reason = "its owner is silent and the lease has lapsed"
+	case n != nil && m.withheld(n):
+		reason = "its owner's target is frozen and the lease has lapsed"
+	default:
+		return false, ""
+	}
+	if !m.targetSafe(r.owner) {
+		return false, ""
+	}
+	return true, reason
+}
+
+// targetSafe reports whether no request can still run on the lost owner's target outside a
+// fence: the target checks fences, or its process is known to have ended.
+func (m *Machine) targetSafe(owner string) bool {
+	c := m.ctl
+	member, ok := m.rec.Node(owner)
+	if n := c.members[owner]; n != nil {
+		member, ok = n.Member, true
+	}
+	t := member.Target
+	if !ok || t.ChecksFences || t.Incarnation == 0 || t.State == TargetAbsent || m.guards.moveNonChecking {
+		return true
+	}
+	if c.goneTgt[owner] == t.Incarnation {
+		return true
+	}
+	if m.now-c.probed[owner] >= probeInterval {
+		c.probed[owner] = m.now
+		m.decide("hold slices", keyspace.SliceID{}, owner, "its target does not check fences and may still run a request")
+		m.emit(ProbeTarget{Name: owner, Incarnation: t.Incarnation, Address: t.Address})
+	}
+	return false
+}
+
+func (m *Machine) targetGone(e TargetGone) {
+	if m.ctl != nil {
+		m.ctl.goneTgt[e.Name] = e.Incarnation
+	}
+}
+
+// problem describes the cell to the placement package.
+func (m *Machine) problem() placement.Problem {
+	c := m.ctl
+	var p placement.Problem
+	for _, name := range sortedNames(c.members) {
+		n := c.members[name]
+		if m.fit(n) {
+			p.Nodes = append(p.Nodes, placement.Node{Name: name, Domain: n.FailureDomain, Capacity: float64(n.Target.Slots)})
+		}
+	}
+	m.rec.each(func(id keyspace.SliceID, rr *RangeRecord, a *Assignment) {
+		_, moving := c.moving[id]
+		p.Slices = append(p.Slices, placement.Slice{
+			ID: id, Owner: c.routes.slices[id].owner, Successor: a.Successor,
+			Work: c.plans.loads.work(id, m.now), Targets: rr.Range.Targets, Pinned: moving,
+		})
+	})
+	return p
+}
+
+// fit reports whether the node may be given slices.
+func (m *Machine) fit(n *memberState) bool {
+	return m.live(n) && !n.leaving && n.Target.State == TargetReady
+}
+
+// activate gives the slices of lost owners to the successors that the record names, while
+// the store cannot be written. The record is brought up to date when it can.
+func (m *Machine) activate() {
+	c := m.ctl
+	activated := false
+	for _, id := range sortedSlices(c.routes.slices) {
+		r := c.routes.slices[id]
+		if _, done := c.active[id]; done || r.owner == "" {
+			continue
+		}
+		lost, reason := m.ownerLost(id, r)
+		a := m.rec.assignment(id)
+		if !lost || a == nil || a.Successor == "" {
+			continue
+		}
+		if n := c.members[a.Successor]; n == nil || !m.fit(n) {
+			continue
+		}
+		c.active[id] = activation{owner: a.Successor, seq: m.nextSeq()}
+		m.decide("activate successor", id, a.Successor, reason+"; the store cannot be written")
+		activated = true
+	}
+	if activated {
+		m.refreshRoutes()
+	}
+}
+
+// settleActivations forgets the activations that the record now holds.
+func (m *Machine) settleActivations() {
+	for id, act := range m.ctl.active {
+		if a := m.rec.assignment(id); a == nil || (a.Owner == act.owner && a.Seq == act.seq) {
+			delete(m.ctl.active, id)
+		}
+	}
+}
+
+// nextSeq takes a number for a new assignment. Numbers of an epoch start above all of the
+// former ones, also above those that a former controller used without writing them.
+func (m *Machine) nextSeq() uint64 {
+	c := m.ctl
+	c.seq = max(c.seq, m.rec.Seq, c.epoch<<epochShift) + 1
+	return c.seq
+}
--- /dev/null
+++ b/core/cell/routes.go
@@ -0,0 +1,172 @@
+package cell
+
+import (
+	"slices"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// route is a slice as the controller routes it.
+type route struct {
+	owner  string
+	seq    uint64
+	moving bool
+	// changed is the table number at which the route last changed.
+	changed uint64
+}
+
+// routes is the controller's route table with the history that deltas need.
+type routes struct {
+	version TableVersion
+	slices  map[keyspace.SliceID]route
+	owned   map[string][]keyspace.SliceID
+	hot     []HotKey
+	// hotVersion is the version that last added a hot key.
+	hotVersion TableVersion
+	// members and whole are the numbers below which a node needs all members or all routes.
+	members uint64
+	whole   uint64
+}
+
+func (r *routes) init(epoch uint64) {
+	r.version = TableVersion{Epoch: epoch, Number: 1}
+	r.slices = make(map[keyspace.SliceID]route)
+	r.owned = make(map[string][]keyspace.SliceID)
+	r.members = 1
+}
+
+func (r *routes) membersChanged() {
+	r.version.Number++
+	r.members = r.version.Number
+}
+
+// refreshRoutes brings the table in line with the record, the activations and the moves,
+// and asks new owners for a heartbeat so that their grants reach them soon.
+func (m *Machine) refreshRoutes() {
+	c := m.ctl
+	next := make(map[keyspace.SliceID]route, len(c.routes.slices))
+	owned := make(map[string][]keyspace.SliceID)
+	number := c.routes.version.Number + 1
+	changed := false
+	poke := make(map[string]bool)
+	m.rec.each(func(id keyspace.SliceID, _ *RangeRecord, a *Assignment) {
+		n := m.routeOf(id, a)
+		old, had := c.routes.slices[id]
+		n.changed = old.changed
+		if !had || n.owner != old.owner || n.moving != old.moving {
+			n.changed = number
+			changed = true
+		}
+		if n.owner != "" && (!had || n.seq != old.seq) {
+			poke[n.owner] = true
+		}
+		next[id] = n
+		owned[n.owner] = append(owned[n.owner], id)
+	})
+	c.routes.replace(next, owned, number, changed)
+	c.routes.setHot(m.rec)
+	for _, name := range sortedNames(poke) {
+		m.pokeName(name)
+	}
+}
+
+func (m *Machine) routeOf(id keyspace.SliceID, a *Assignment) route {
+	c := m.ctl
+	r := route{owner: a.Owner, seq: a.Seq}
+	if act, ok := c.active[id]; ok {
+		r.owner, r.seq = act.owner, act.seq
+	}
+	if mv, ok := c.moving[id]; ok {
+		if mv.seq != r.seq {
+			delete(c.moving, id)
+		} else {
+			r.moving = true
+		}
+	}
+	if f, ok := c.freed[id]; ok && f.fence.Less(fenceOf(c.epoch, r.seq)) {
+		delete(c.freed, id)
+	}
+	return r
+}
+
+func (r *routes) replace(next map[keyspace.SliceID]route, owned map[string][]keyspace.SliceID, number uint64, changed bool) {
+	for id := range r.slices {
+		if _, ok := next[id]; !ok {
+			changed = true
+			r.whole = number
+		}
+	}
+	r.slices, r.owned = next, owned
+	if changed {
+		r.version.Number = number
+	}
+}
+
+func (r *routes) setHot(rec *Record) {
+	var hot []HotKey
+	for _, rr := range rec.Ranges {
+		for i, key := range rr.Hot {
+			id := keyspace.SliceID{Range: rr.Range.ID(), Index: rr.Range.Slices + uint32(i)}
+			hot = append(hot, HotKey{Slice: id, Key: key})
+		}
+	}
+	if !slices.Equal(hot, r.hot) {
+		r.hot = hot
+		r.version.Number++
+		r.hotVersion = r.version
+	}
+}
+
+// delta returns what a node with the table version lacks, nil for nothing.
+func (r *routes) delta(have TableVersion, members map[string]*memberState) *TableDelta {
+	if have == r.version {
+		return nil
+	}
+	d := &TableDelta{To: r.version, Full: have.Epoch != r.version.Epoch || have.Number < r.whole}
+	since := have.Number
+	if d.Full {
+		since = 0
+	}
+	if since < r.members {
+		for _, name := range sortedNames(members) {
+			d.Members = append(d.Members, members[name].Member)
+		}
+	}
+	if len(r.hot) > 0 && since < r.hotVersion.Number {
+		d.Hot = r.hot
+	}
+	for _, id := range sortedSlices(r.slices) {
+		if s := r.slices[id]; s.changed > since {
+			d.Routes = append(d.Routes, SliceRoute{Slice: id, Owner: s.owner, Moving: s.moving})
+		}
+	}
+	return d
+}
+
+// others is the controller's view of the other cells.
+type others struct {
+	// version is the store's version that the view shows.
+	version int64
+	number  uint64
+	cells   map[string]otherState
+}
+
+type otherState struct {
+	OtherCell
+	changed uint64
+}
+
+// delta returns what a node with the version lacks, nil for nothing.
+func (o *others) delta(epoch uint64, have TableVersion) *CellsView {
+	to := TableVersion{Epoch: epoch, Number: o.number}
+	if o.number == 0 || have == to {
+		return nil
+	}
+	v := &CellsView{Version: to, Full: have.Epoch != epoch}
+	for _, name := range sortedNames(o.cells) {
+		if c := o.cells[name]; v.Full || c.changed > have.Number {
+			v.Cells = append(v.Cells, c.OtherCell)
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/core/cell/sheet.go
@@ -0,0 +1,196 @@
+package cell
+
+import (
+	"reflect"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// sheetRead takes an accepted sheet; an older one than the present is ignored.
+func (m *Machine) sheetRead(layout *keyspace.Layout) {
+	if layout == nil || !m.takeSheet(layout) {
+		return
+	}
+	m.emit(TableChanged{})
+	if m.ctl != nil {
+		m.ctl.plans.dirty = true
+	}
+}
+
+// cellsRead takes a view of the other cells that is not older than the present one.
+func (m *Machine) cellsRead(e CellsRead) {
+	c := m.ctl
+	if c == nil || e.Version < c.others.version {
+		return
+	}
+	o := &c.others
+	o.version = e.Version
+	next := make(map[string]otherState, len(e.Cells))
+	changed := len(e.Cells) != len(o.cells) || o.number == 0
+	for _, cell := range e.Cells {
+		old, had := o.cells[cell.Cell]
+		s := otherState{OtherCell: cell, changed: old.changed}
+		if !had || !reflect.DeepEqual(old.OtherCell, cell) {
+			s.changed = o.number + 1
+			changed = true
+		}
+		next[cell.Cell] = s
+	}
+	o.cells = next
+	if changed {
+		o.number++
+		c.plans.dirty = true
+	}
+}
+
+// ownCell reports whether the sheet gives the range to this cell.
+func (m *Machine) ownCell(r keyspace.Range) bool {
+	cell := r.Cell
+	if cell == "" {
+		cell = r.Region
+	}
+	return cell == m.cfg.Cell
+}
+
+// wantedRanges returns the keyed ranges that the sheet gives to this cell.
+func (m *Machine) wantedRanges() map[keyspace.RangeID]keyspace.Range {
+	wanted := make(map[keyspace.RangeID]keyspace.Range)
+	for _, s := range m.sheet.Services {
+		for _, r := range s.Ranges {
+			if r.Kind == keyspace.Keyed && m.ownCell(r) {
+				wanted[r.ID()] = r
+			}
+		}
+	}
+	return wanted
+}
+
+// draftSheet brings the record's ranges in line with the sheet, in steps: give up what the
+// sheet takes away, note the sheet's version, then take what no other cell can hold.
+func (m *Machine) draftSheet(r *Record) bool {
+	if m.sheet == nil || m.sheet.Version < r.SheetVersion {
+		return false
+	}
+	if m.sheet.Version == r.SheetVersion && !m.ctl.plans.adopting {
+		return false
+	}
+	wanted := m.wantedRanges()
+	changed, kept := m.dropRanges(r, wanted)
+	if m.sheet.Version > r.SheetVersion {
+		if kept {
+			return changed
+		}
+		r.SheetVersion = m.sheet.Version
+		m.ctl.plans.adopting = true
+		m.decide("follow sheet", keyspace.SliceID{}, m.self.Name, "nothing is held that the sheet gives to others")
+		return true
+	}
+	return m.addRanges(r, wanted) || changed
+}
+
+// dropRanges removes ranges that are not wanted and hold no lease. It reports whether the
+// record changed and whether an unwanted range is still held.
+func (m *Machine) dropRanges(r *Record, wanted map[keyspace.RangeID]keyspace.Range) (changed, kept bool) {
+	var keep []RangeRecord
+	for i := range r.Ranges {
+		rr := r.Ranges[i]
+		id := rr.Range.ID()
+		w, ok := wanted[id]
+		switch {
+		case ok:
+			if !reflect.DeepEqual(rr.Range, w) {
+				rr.Range = w
+				changed = true
+			}
+			keep = append(keep, rr)
+		case m.rangeFree(rr):
+			changed = true
+			m.decide("drop range", keyspace.SliceID{Range: id}, m.self.Name, "the sheet gives it to others")
+		default:
+			kept = true
+			keep = append(keep, rr)
+		}
+	}
+	r.Ranges = keep
+	return changed, kept
+}
+
+// rangeFree reports whether no slice of the range can be held by anybody, and starts to
+// drain those that are.
+func (m *Machine) rangeFree(rr RangeRecord) bool {
+	free := true
+	id := keyspace.SliceID{Range: rr.Range.ID()}
+	for i := range rr.Slices {
+		id.Index = uint32(i)
+		if !m.sliceFree(id) {
+			free = false
+			m.startMove(id, "", "the sheet gives the range to others", "")
+		}
+	}
+	return free
+}
+
+// sliceFree reports whether nobody can hold the slice.
+func (m *Machine) sliceFree(id keyspace.SliceID) bool {
+	c := m.ctl
+	r := c.routes.slices[id]
+	if f, ok := c.freed[id]; ok && lower(fenceOf(c.epoch, r.seq), f.fence) {
+		return true
+	}
+	if r.owner == "" {
+		return true
+	}
+	if g, ok := c.granted[id]; ok && g.until > m.now {
+		return false
+	}
+	lost, _ := m.ownerLost(id, r)
+	return lost
+}
+
+// addRanges takes the ranges that the sheet gives to this cell, once every other cell's
+// record follows the same sheet and holds no overlapping range.
+func (m *Machine) addRanges(r *Record, wanted map[keyspace.RangeID]keyspace.Range) bool {
+	for i := range r.Ranges {
+		delete(wanted, r.Ranges[i].Range.ID())
+	}
+	if len(wanted) == 0 {
+		m.ctl.plans.adopting = false
+		return false
+	}
+	changed := false
+	for _, s := range m.sheet.Services {
+		for _, rg := range s.Ranges {
+			if _, ok := wanted[rg.ID()]; !ok || !m.othersAgree(rg) {
+				continue
+			}
+			r.Ranges = append(r.Ranges, RangeRecord{Range: rg, Slices: make([]Assignment, rg.Slices)})
+			m.decide("take range", keyspace.SliceID{Range: rg.ID()}, m.self.Name, "no other cell can hold it")
+			changed = true
+		}
+	}
+	return changed
+}
+
+// othersAgree reports whether no other cell holds or may take the range: their records
+// were read after this cell's own followed the sheet, follow the same one, and do not
+// overlap the range.
+func (m *Machine) othersAgree(rg keyspace.Range) bool {
+	if m.guards.anyCells {
+		return true
+	}
+	o := &m.ctl.others
+	if o.number == 0 || o.version < m.sheetFollowed {
+		return false
+	}
+	for _, c := range o.cells {
+		if c.SheetVersion != m.sheet.Version {
+			return false
+		}
+		for _, held := range c.Ranges {
+			if held.Overlaps(rg) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/cell/standby.go
@@ -0,0 +1,173 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// standby is the node's part as the cell's standby controller, and as a candidate when the
+// cell has none.
+type standby struct {
+	// naming is the record's naming number by which this node became the standby.
+	naming uint64
+	// until is the time before which the node must not take over.
+	until   time.Duration
+	retryAt time.Duration
+	// probedAt is when controller and standby were last probed.
+	probedAt time.Duration
+}
+
+// learnStandby starts or ends the node's time as the standby. A new standby waits as if it
+// had just promised, since the controller has authority from the write that named it.
+func (m *Machine) learnStandby() {
+	s := &m.standby
+	if !m.isStandby() {
+		s.naming = 0
+		return
+	}
+	if s.naming == m.rec.Naming {
+		return
+	}
+	s.naming = m.rec.Naming
+	if !m.guards.noStandbyWait {
+		s.until = max(s.until, m.now+m.timing.wait(max(m.timing.Lease, m.timing.Promise)))
+	}
+	m.decide("standby", keyspace.SliceID{}, m.self.Name, "the record names this node")
+}
+
+func (m *Machine) isStandby() bool {
+	return m.rec != nil && m.same(m.rec.Standby) && !m.same(m.rec.Controller)
+}
+
+// same reports whether the record means this very process.
+func (m *Machine) same(n Node) bool {
+	if m.guards.noIncarnation {
+		return n.Name == m.self.Name
+	}
+	return n == m.self
+}
+
+func (m *Machine) promiseAsked(ask PromiseAsk) {
+	answer := PromiseAnswer{From: m.self, Epoch: ask.Epoch, Number: ask.Number}
+	answer.Promised = m.mayPromise(ask)
+	switch {
+	case answer.Promised && ask.Resign:
+		m.standby.until = min(m.standby.until, m.now)
+		m.standbyTick()
+	case answer.Promised:
+		m.standby.until = max(m.standby.until, m.now+m.timing.wait(m.timing.Promise))
+	case m.rec == nil || ask.Epoch >= m.rec.Epoch:
+		m.readRecord()
+	}
+	m.emit(AnswerPromise{To: ask.From, Answer: answer})
+}
+
+// mayPromise reports whether the node is the asking controller's standby and has no
+// takeover under way that could still take effect.
+func (m *Machine) mayPromise(ask PromiseAsk) bool {
+	if m.rec == nil || !m.isStandby() {
+		return false
+	}
+	if m.rec.Epoch != ask.Epoch || m.rec.Controller != ask.From || !m.same(ask.Standby) {
+		return false
+	}
+	return !m.inDoubt(writeTakeover) || m.guards.promiseInDoubt
+}
+
+func (m *Machine) standbyTick() {
+	m.probeTick()
+	if m.rec == nil || m.write != nil || m.now < m.standby.retryAt || m.leaving {
+		return
+	}
+	if reason := m.takeoverReason(); reason != "" {
+		m.takeOver(reason)
+	}
+}
+
+// probeTick checks, while the controller is silent, whether it or the standby has ended.
+func (m *Machine) probeTick() {
+	s := &m.standby
+	if m.rec == nil || m.ctl != nil || !m.silent() || m.now-s.probedAt < probeInterval {
+		return
+	}
+	s.probedAt = m.now
+	for _, n := range []Node{m.rec.Controller, m.rec.Standby} {
+		member, ok := m.rec.Node(n.Name)
+		if ok && n != m.self {
+			member.Node = n
+			m.emit(ProbePeer{Peer: member})
+		}
+	}
+}
+
+// takeoverReason returns why this node may take over now, empty when it may not.
+func (m *Machine) takeoverReason() string {
+	switch {
+	case m.same(m.rec.Controller):
+		return ""
+	case m.isStandby() && m.now > m.standby.until:
+		return "the promise to the controller has lapsed"
+	case m.rec.Standby.IsZero() && m.silent() && m.soloLapsed():
+		return "the controller without a standby has stopped renewing the record"
+	case m.bothLost():
+		return "controller and standby are lost"
+	default:
+		return ""
+	}
+}
+
+// soloLapsed reports whether the record has stayed at one version for so long that its
+// controller's authority, which only a write extends, has ended.
+func (m *Machine) soloLapsed() bool {
+	if m.guards.soloNoSilence {
+		return true
+	}
+	return m.now-m.versionSeen > m.timing.wait(m.timing.Promise)
+}
+
+// bothLost reports whether no authority can be left: the controller's process has ended, or
+// the standby's has and the last promise that it can have given has lapsed since.
+func (m *Machine) bothLost() bool {
+	grace := m.timing.wait(m.timing.Promise)
+	if m.rec.Standby.IsZero() || m.isStandby() || !m.silent() {
+		return false
+	}
+	if at, ok := m.gone[m.rec.Controller]; ok && m.now-at > grace && m.now-m.versionSeen > grace {
+		return true
+	}
+	at, ok := m.gone[m.rec.Standby]
+	return ok && (m.now-at > grace || m.guards.noGonePromise) && m.now-m.versionSeen > grace
+}
+
+// takeOver writes this node into the record as the controller of a new epoch.
+func (m *Machine) takeOver(reason string) {
+	r := m.rec.Clone()
+	r.Previous = r.Controller
+	r.Epoch++
+	r.Naming++
+	r.Controller = m.self
+	r.putNode(m.selfMember())
+	r.Standby = m.nextStandby(r)
+	m.decide("take over", keyspace.SliceID{}, m.self.Name, reason)
+	m.put(writeTakeover, m.version, r, nil)
+}
+
+// nextStandby picks a standby for a takeover: a node that the record lists, in another
+// failure domain if it can be. If it is silent, the controller replaces it.
+func (m *Machine) nextStandby(r *Record) Node {
+	best, other := Node{}, false
+	for _, n := range r.Nodes {
+		if n.Name == m.self.Name || n.Name == r.Previous.Name || n.Name == m.rec.Standby.Name {
+			continue
+		}
+		if _, gone := m.gone[n.Node]; gone {
+			continue
+		}
+		away := n.FailureDomain != m.cfg.Self.FailureDomain
+		if best.IsZero() || (away && !other) {
+			best, other = n.Node, away
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/cell/view.go
@@ -0,0 +1,72 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// View is what the request side needs to route. Its parts are immutable.
+type View struct {
+	Sheet *keyspace.Layout
+	Table *Table
+	Cells CellsView
+}
+
+// View returns the present sheet, table and contacts.
+func (m *Machine) View() View { return View{Sheet: m.sheet, Table: m.table, Cells: m.cells} }
+
+// MemberStatus is one node of the cell as its controller sees it.
+type MemberStatus struct {
+	Member Member
+	// Silent is the time since its last heartbeat.
+	Silent  time.Duration
+	Slices  int
+	Leaving bool
+}
+
+// Status describes the machine for operators.
+type Status struct {
+	Epoch      uint64
+	Controller Node
+	Standby    Node
+	// IsController tells that this node is the controller, HasAuthority that it may grant.
+	IsController bool
+	HasAuthority bool
+	Quiet        bool
+	SheetVersion int64
+	StoreDown    bool
+	// InDoubt tells that a write of the record may still take effect.
+	InDoubt bool
+	// Held counts the leases of this node.
+	Held    int
+	Moving  int
+	Members []MemberStatus
+	Table   TableVersion
+}
+
+// Status returns the machine's state.
+func (m *Machine) Status() Status {
+	s := Status{Epoch: m.epoch, Controller: m.leader.Node, StoreDown: m.storeDown, Held: len(m.holder.held)}
+	s.InDoubt = m.write != nil && m.write.unknown
+	if m.rec != nil && m.rec.Epoch == m.epoch {
+		s.Standby = m.rec.Standby
+	}
+	if m.sheet != nil {
+		s.SheetVersion = m.sheet.Version
+	}
+	if m.table != nil {
+		s.Table = m.table.Version
+	}
+	if c := m.ctl; c != nil {
+		s.IsController, s.HasAuthority, s.Quiet = true, m.hasAuthority(), c.quiet
+		s.Moving = len(c.moving)
+		for _, name := range sortedNames(c.members) {
+			n := c.members[name]
+			s.Members = append(s.Members, MemberStatus{
+				Member: n.Member, Silent: m.now - n.seen, Slices: len(c.routes.owned[name]), Leaving: n.leaving,
+			})
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/cell/write.go
@@ -0,0 +1,145 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// writeKind says what a write of the record changes.
+type writeKind uint8
+
+const (
+	// writeNaming names a standby, or none, by the present controller.
+	writeNaming writeKind = iota + 1
+	// writeTakeover names a new controller.
+	writeTakeover
+	// writeRenew renews the authority of a controller without a standby.
+	writeRenew
+	// writePlan changes assignments.
+	writePlan
+	// writeMove only moves the version, so that an earlier write cannot take effect any more.
+	writeMove
+)
+
+// write is the one write of the record that this node has under way or in doubt.
+type write struct {
+	kind     writeKind
+	expected int64
+	record   *Record
+	// ids has the id of each attempt on the expected version; sent their times.
+	ids  []string
+	sent []time.Duration
+	// bumped tells that the last attempt writes the old record to move the version.
+	bumped bool
+	// unknown tells that some attempt may still take effect.
+	unknown bool
+	// inFlight tells that the last attempt has not ended.
+	inFlight bool
+	// slices are those that the write assigns.
+	slices map[keyspace.SliceID]bool
+}
+
+func (m *Machine) put(kind writeKind, expected int64, rec *Record, slices map[keyspace.SliceID]bool) {
+	m.write = &write{kind: kind, expected: expected, record: rec, slices: slices}
+	m.attempt(rec)
+}
+
+func (m *Machine) attempt(rec *Record) {
+	w := m.write
+	id := m.newWriteID()
+	w.ids = append(w.ids, id)
+	w.sent = append(w.sent, m.now)
+	w.inFlight = true
+	m.emit(WriteRecord{ID: id, Expected: w.expected, Record: rec})
+}
+
+func (m *Machine) recordWritten(e RecordWritten) {
+	w := m.write
+	if w == nil || len(w.ids) == 0 || w.ids[len(w.ids)-1] != e.ID {
+		return
+	}
+	w.inFlight = false
+	m.storeDown = e.Status == WriteUnknown || e.Status == WriteUnavailable
+	switch e.Status {
+	case WriteDone:
+		m.written(len(w.ids)-1, e.Version)
+	case WriteConflict:
+		w.unknown = true
+		m.readAt = m.now - readRetry
+		m.readRecord()
+	case WriteUnknown:
+		w.unknown = true
+		m.readRecord()
+	case WriteUnavailable:
+		if !w.unknown {
+			m.write = nil
+			m.backOff()
+		}
+	}
+}
+
+// written takes the effect of attempt i, now known to be the record's version.
+func (m *Machine) written(i int, version int64) {
+	w := m.write
+	m.write = nil
+	rec, kind := w.record, w.kind
+	if w.bumped && i == len(w.ids)-1 {
+		rec, kind = m.rec, writeMove
+	}
+	if rec == nil {
+		return
+	}
+	m.learn(version, rec)
+	m.gainByWrite(kind, w.sent[i])
+}
+
+// resolve settles a write in doubt when a read shows that the version moved.
+func (m *Machine) resolve(e RecordRead) {
+	w := m.write
+	if w == nil || e.Version <= w.expected {
+		return
+	}
+	for i, id := range w.ids {
+		if id == e.WriteID {
+			m.written(i, e.Version)
+			return
+		}
+	}
+	if w.inFlight && !w.unknown {
+		return
+	}
+	m.write = nil
+	m.backOff()
+}
+
+// moveVersion writes the unchanged record on the version that a write in doubt expects, so
+// that at most one of the two takes effect.
+func (m *Machine) moveVersion(version int64) {
+	w := m.write
+	if w == nil || !w.unknown || w.inFlight || version != w.expected {
+		return
+	}
+	if m.guards.noVersionMove {
+		m.write = nil
+		return
+	}
+	rec := m.rec
+	if w.expected == 0 {
+		rec = w.record
+	} else {
+		w.bumped = true
+	}
+	m.decide("move version", keyspace.SliceID{}, m.self.Name, "a write of the record may still take effect")
+	m.attempt(rec)
+}
+
+func (m *Machine) backOff() {
+	if m.ctl != nil {
+		m.ctl.retryAt = m.now + readRetry
+	}
+	m.standby.retryAt = m.now + readRetry
+}
+
+// inDoubt reports whether a write of the kind may take effect without this node knowing.
+func (m *Machine) inDoubt(kind writeKind) bool { return m.write != nil && m.write.kind == kind }
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,198 @@
+// Package placement decides which node owns which slice: as few moves as possible, a
+// successor in another failure domain, and work spread by what was measured.
+//
+// All functions are pure and deterministic: equal problems give equal answers.
+package placement
+
+import (
+	"cmp"
+	"path"
+	"slices"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// Node is a candidate owner.
+type Node struct {
+	Name   string
+	Domain string
+	// Capacity is the number of slots of the node's target.
+	Capacity float64
+}
+
+// Slice is one slice with its present place.
+type Slice struct {
+	ID keyspace.SliceID
+	// Owner and Successor are node names, empty for none.
+	Owner     string
+	Successor string
+	// Work is the measured slot time per second, in milliseconds.
+	Work float64
+	// Targets lists glob patterns of the VM names that may own the slice; empty allows all.
+	Targets []string
+	// Pinned slices stay where they are: a move of them is under way.
+	Pinned bool
+}
+
+// Problem is the state that a decision is made from.
+type Problem struct {
+	Slices []Slice
+	// Nodes are the candidates for new slices, ordered by name.
+	Nodes []Node
+}
+
+// Move gives a slice a new owner.
+type Move struct {
+	ID     keyspace.SliceID
+	From   string
+	To     string
+	Reason string
+}
+
+// Succession gives a slice a new successor, empty for none.
+type Succession struct {
+	ID        keyspace.SliceID
+	Successor string
+}
+
+// baseWork is counted for every slice besides its measured work, so that idle slices
+// spread too, in milliseconds of slot time per second.
+const baseWork = 1.0
+
+// Allowed reports whether the patterns admit the VM name.
+func Allowed(patterns []string, name string) bool {
+	if len(patterns) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(patterns, func(p string) bool {
+		ok, err := path.Match(p, name)
+		return err == nil && ok
+	})
+}
+
+// usage tracks what each node owns while a decision is made.
+type usage struct {
+	nodes map[string]*nodeUse
+	order []*nodeUse
+}
+
+type nodeUse struct {
+	Node
+	count int
+	work  float64
+}
+
+func newUsage(p Problem) *usage {
+	u := &usage{nodes: make(map[string]*nodeUse, len(p.Nodes))}
+	for _, n := range p.Nodes {
+		n.Capacity = max(n.Capacity, 1)
+		use := &nodeUse{Node: n}
+		u.nodes[n.Name] = use
+		u.order = append(u.order, use)
+	}
+	for _, s := range p.Slices {
+		u.add(s.Owner, s, 1)
+	}
+	return u
+}
+
+func (u *usage) add(name string, s Slice, sign int) {
+	if n := u.nodes[name]; n != nil {
+		n.count += sign
+		n.work += float64(sign) * (s.Work + baseWork)
+	}
+}
+
+func (n *nodeUse) relative() float64 { return n.work / n.Capacity }
+
+// least returns the allowed node with the lowest relative load, nil when there is none.
+func (u *usage) least(s Slice, skip func(*nodeUse) bool) *nodeUse {
+	var best *nodeUse
+	for _, n := range u.order {
+		if !Allowed(s.Targets, n.Name) || (skip != nil && skip(n)) {
+			continue
+		}
+		if best == nil || n.relative() < best.relative() {
+			best = n
+		}
+	}
+	return best
+}
+
+// Assign chooses owners for the slices that need one: the successor when it is a
+// candidate, else the least loaded allowed node. Slices that no node may own are left out.
+func Assign(p Problem, needs func(Slice) bool) []Move {
+	u := newUsage(p)
+	var moves []Move
+	for _, s := range p.Slices {
+		if !needs(s) {
+			continue
+		}
+		if m, ok := u.assign(s); ok {
+			moves = append(moves, m)
+		}
+	}
+	return moves
+}
+
+func (u *usage) assign(s Slice) (Move, bool) {
+	u.add(s.Owner, s, -1)
+	to, reason := u.nodes[s.Successor], "successor"
+	if to == nil || !Allowed(s.Targets, to.Name) {
+		to, reason = u.least(s, func(n *nodeUse) bool { return n.Name == s.Owner }), "least loaded"
+	}
+	if to == nil {
+		u.add(s.Owner, s, 1)
+		return Move{}, false
+	}
+	u.add(to.Name, s, 1)
+	return Move{ID: s.ID, From: s.Owner, To: to.Name, Reason: reason}, true
+}
+
+// Successors returns changes that give every slice a successor other than its owner, in
+// another failure domain where there is one. A fitting successor is kept.
+func Successors(p Problem) []Succession {
+	domains := make(map[string]string, len(p.Nodes))
+	for _, n := range p.Nodes {
+		domains[n.Name] = n.Domain
+	}
+	counts := make(map[string]int)
+	for _, s := range p.Slices {
+		counts[s.Successor]++
+	}
+	var out []Succession
+	for _, s := range p.Slices {
+		want := successor(p, s, domains, counts)
+		if want != s.Successor {
+			counts[s.Successor]--
+			counts[want]++
+			out = append(out, Succession{ID: s.ID, Successor: want})
+		}
+	}
+	return out
+}
+
+func successor(p Problem, s Slice, domains map[string]string, counts map[string]int) string {
+	best, bestRank := "", [2]int{}
+	for _, n := range p.Nodes {
+		if n.Name == s.Owner || !Allowed(s.Targets, n.Name) {
+			continue
+		}
+		rank := [2]int{0, counts[n.Name]}
+		if n.Domain == domains[s.Owner] {
+			rank[0] = 1
+		}
+		if n.Name == s.Successor {
+			rank[1] = -1
+		}
+		if best == "" || slices.Compare(rank[:], bestRank[:]) < 0 {
+			best, bestRank = n.Name, rank
+		}
+	}
+	return best
+}
+
+// byWork orders slices by falling work, then by identity.
+func byWork(a, b Slice) int {
+	return cmp.Or(cmp.Compare(b.Work, a.Work), cmp.Compare(a.ID.Range, b.ID.Range), cmp.Compare(a.ID.Index, b.ID.Index))
+}
--- /dev/null
+++ b/node/control/loop.go
@@ -0,0 +1,187 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/node/bootclock"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// envelope is an event for the loop; reply, if set, gets the effects that answer it.
+type envelope struct {
+	event cell.Event
+	reply chan<- cell.Effect
+}
+
+type sliceKey = keyspace.SliceID
+
+// firstGrant is when this process was first granted an assignment.
+type firstGrant struct {
+	seq uint64
+	at  time.Time
+}
+
+// loadInterval is the time between two reports of measured work.
+const loadInterval = 500 * time.Millisecond
+
+// Run takes part in the cell until the context ends; then it ends every lease.
+func (c *Control) Run(ctx context.Context) error {
+	defer close(c.stopped)
+	ctx, cancel := context.WithCancel(ctx)
+	ticker := time.NewTicker(cell.TickInterval)
+	defer ticker.Stop()
+	var clock bootclock.Watch
+	var loadsAt time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			c.endAll()
+			cancel()
+			c.calls.Wait()
+			c.peers.close()
+			return nil
+		case e := <-c.events:
+			c.step(ctx, e)
+		case <-ticker.C:
+			now := bootclock.Now()
+			if clock.Jumped(now, time.Now()) {
+				c.step(ctx, envelope{event: cell.ClockJumped{}})
+			}
+			report := cell.TargetReported{Target: targetOf(c.holder.Report())}
+			if now-loadsAt >= loadInterval {
+				loadsAt = now
+				report.Loads = loadsOf(c.holder.SliceLoads())
+			}
+			c.step(ctx, envelope{event: report})
+			c.step(ctx, envelope{event: cell.Tick{}})
+			c.publishStatus()
+		}
+	}
+}
+
+// step feeds the machine one event and what follows from it on this node.
+func (c *Control) step(ctx context.Context, e envelope) {
+	c.apply(ctx, e)
+	for len(c.local) > 0 {
+		next := c.local[0]
+		c.local = c.local[1:]
+		c.apply(ctx, envelope{event: next})
+	}
+}
+
+func (c *Control) apply(ctx context.Context, e envelope) {
+	for _, effect := range c.machine.Step(bootclock.Now(), e.event) {
+		c.carry(ctx, effect, e.reply)
+	}
+}
+
+// carry does what one effect says. Nothing in it waits.
+func (c *Control) carry(ctx context.Context, effect cell.Effect, reply chan<- cell.Effect) {
+	switch e := effect.(type) {
+	case cell.SendHeartbeat:
+		c.sendHeartbeat(ctx, e)
+	case cell.AnswerHeartbeat:
+		c.answer(e, reply)
+	case cell.AnswerPromise:
+		c.answer(e, reply)
+	case cell.AskPromise:
+		c.askPromise(ctx, e)
+	case cell.SendPoke:
+		c.sendPoke(ctx, e)
+	case cell.ReadRecord:
+		c.readRecord(ctx)
+	case cell.WriteRecord:
+		c.writeRecord(ctx, e)
+	case cell.Watch:
+		c.watch(ctx, e.On)
+	case cell.AdoptLeases:
+		c.adopt(e.Leases)
+	case cell.EndLeases:
+		c.end(e)
+	case cell.DrainSlice:
+		c.drain(e.Slice)
+	case cell.TableChanged:
+		c.publishRoutes()
+	case cell.ProbePeer:
+		c.probePeer(ctx, e.Peer)
+	case cell.ProbeTarget:
+		c.probeTarget(ctx, e)
+	case cell.LeaveDone:
+		close(c.left)
+	case cell.Decision:
+		c.logDecision(e)
+	}
+}
+
+// answer hands an answer to the waiting RPC, or to this node's own machine.
+func (c *Control) answer(effect cell.Effect, reply chan<- cell.Effect) {
+	if reply != nil {
+		reply <- effect
+		return
+	}
+	if a, ok := effect.(cell.AnswerHeartbeat); ok && a.To == nodeOf(c.cfg.Self) {
+		c.local = append(c.local, cell.HeartbeatAnswered{Answer: a.Answer})
+	}
+}
+
+// post hands the loop an event; it is dropped once the loop has ended.
+func (c *Control) post(event cell.Event) {
+	select {
+	case c.events <- envelope{event: event}:
+	case <-c.stopped:
+	}
+}
+
+func (c *Control) adopt(leases []cell.Adoption) {
+	table := c.machine.View()
+	out := make([]plane.Lease, 0, len(leases))
+	for _, l := range leases {
+		first, ok := c.firsts[l.Slice]
+		if !ok || first.seq != l.Fence.Seq {
+			first = firstGrant{seq: l.Fence.Seq, at: time.Now()}
+			c.firsts[l.Slice] = first
+		}
+		out = append(out, plane.Lease{
+			Slice: l.Slice, Service: serviceOf(table.Sheet, l.Slice.Range), Fence: l.Fence,
+			Until: l.Until, FirstAt: first.at, Window: l.Window,
+		})
+	}
+	c.metrics.adopted.Add(float64(len(out)))
+	c.holder.Adopt(out)
+}
+
+func (c *Control) end(e cell.EndLeases) {
+	c.metrics.ended.Add(float64(len(e.Slices)))
+	c.log.Warn("leases end", "slices", len(e.Slices), "first", e.Slices[0].String(), "reason", e.Reason)
+	c.holder.End(e.Slices, e.Reason)
+}
+
+// drain hands a slice back. Its ids go with it, so a later grant to this process starts
+// without them.
+func (c *Control) drain(slice keyspace.SliceID) {
+	delete(c.firsts, slice)
+	c.holder.Drain(slice, func(window []byte) {
+		go c.post(cell.SliceDrained{Slice: slice, Window: window})
+	})
+}
+
+// endAll ends what this node holds before the process stops.
+func (c *Control) endAll() {
+	for _, effect := range c.machine.Step(bootclock.Now(), cell.ClockJumped{}) {
+		if e, ok := effect.(cell.EndLeases); ok {
+			c.holder.End(e.Slices, "the node stops")
+		}
+	}
+}
+
+func (c *Control) logDecision(d cell.Decision) {
+	c.metrics.decisions.WithLabelValues(d.What).Inc()
+	args := []any{"reason", d.Reason, "about", d.Node}
+	if d.Slice != (keyspace.SliceID{}) {
+		args = append(args, "slice", d.Slice.String())
+	}
+	c.log.Info(d.What, args...)
+}
--- /dev/null
+++ b/node/control/peers.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/wire/cellwire"
+	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
+)
+
+// peersMax bounds the connections kept to other nodes.
+const peersMax = 64
+
+// peers keeps one connection per address, dialled on demand.
+type peers struct {
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+func newPeers(dial func(ctx context.Context, address string) (net.Conn, error)) *peers {
+	return &peers{dial: dial, conns: make(map[string]*grpc.ClientConn)}
+}
+
+func (p *peers) client(address string) (pb.CellServiceClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.conns[address]; conn != nil {
+		return pb.NewCellServiceClient(conn), nil
+	}
+	p.dropOne()
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(p.dial),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 300 * time.Millisecond},
+			MinConnectTimeout: dialTimeout,
+		}))
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to node")
+	}
+	p.conns[address] = conn
+	return pb.NewCellServiceClient(conn), nil
+}
+
+// dropOne makes room for one more connection.
+func (p *peers) dropOne() {
+	if len(p.conns) < peersMax {
+		return
+	}
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+		return
+	}
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+	p.conns = make(map[string]*grpc.ClientConn)
+}
+
+// probePeer reports the process gone if its VM refuses the connection or another
+// incarnation answers there. Silence proves nothing.
+func (c *Control) probePeer(ctx context.Context, peer cell.Member) {
+	c.call(ctx, func(ctx context.Context) {
+		conn, err := c.cfg.Dial(ctx, peer.Address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.post(cell.PeerGone{Node: peer.Node})
+			return
+		}
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+		client, err := c.peers.client(peer.Address)
+		if err != nil {
+			return
+		}
+		response, err := client.Poke(ctx, &pb.PokeRequest{Cluster: c.cfg.Cluster, Cell: c.cfg.Cell})
+		if err == nil {
+			c.noteIncarnation(peer.Node, cellwire.NodeFromWire(response.GetFrom()))
+		}
+	})
+}
+
+// probeTarget reports a lost node's target gone if its VM refuses the connection.
+func (c *Control) probeTarget(ctx context.Context, e cell.ProbeTarget) {
+	if e.Address == "" {
+		return
+	}
+	c.call(ctx, func(ctx context.Context) {
+		conn, err := c.cfg.Dial(ctx, e.Address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.post(cell.TargetGone{Name: e.Name, Incarnation: e.Incarnation})
+			return
+		}
+		if err == nil {
+			_ = conn.Close()
+		}
+	})
+}
--- /dev/null
+++ b/node/control/router.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/placement"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// routeView is an immutable state of what the node knows of routes.
+type routeView struct {
+	cell.View
+	self     plane.Peer
+	byCell   map[string]cell.OtherCell
+	replaced chan struct{}
+}
+
+func newRouteView(self plane.Peer, v cell.View) *routeView {
+	r := &routeView{View: v, self: self, byCell: make(map[string]cell.OtherCell), replaced: make(chan struct{})}
+	for _, c := range v.Cells.Cells {
+		r.byCell[c.Cell] = c
+	}
+	return r
+}
+
+// publishRoutes replaces the view and wakes those who wait for a change.
+func (c *Control) publishRoutes() {
+	old := c.view.Swap(newRouteView(c.cfg.Self, c.machine.View()))
+	close(old.replaced)
+}
+
+// Changed implements plane.Router.
+func (c *Control) Changed() <-chan struct{} { return c.view.Load().replaced }
+
+// Locate implements plane.Router.
+func (c *Control) Locate(service, key string) (plane.Route, error) {
+	v := c.view.Load()
+	if v.Sheet == nil {
+		return plane.Route{}, errors.Wrap(plane.ErrNotReady, "no sheet received")
+	}
+	r, err := v.Sheet.Locate(service, key)
+	if err != nil {
+		return plane.Route{}, errors.Wrap(err, "locate")
+	}
+	route := plane.Route{Range: r, SheetVersion: v.Sheet.Version}
+	switch {
+	case r.Kind == keyspace.Shared:
+		route.Slice = r.SliceOf(key)
+		route.Candidates = v.candidates(r)
+	case v.cellOf(r) == c.cfg.Cell:
+		v.locateOwn(&route, key)
+	default:
+		route.Slice = r.SliceOf(key)
+		route.Contacts = v.contacts(r)
+		route.Owner = c.learned.owner(route.Slice)
+	}
+	return route, nil
+}
+
+func (v *routeView) cellOf(r keyspace.Range) string {
+	if r.Cell != "" {
+		return r.Cell
+	}
+	return r.Region
+}
+
+// locateOwn fills in the route of a key of the node's own cell.
+func (v *routeView) locateOwn(route *plane.Route, key string) {
+	route.Slice = v.Table.SliceOf(route.Range, key)
+	if v.Table == nil {
+		return
+	}
+	s := v.Table.Routes[route.Slice]
+	route.Moving = s.Moving
+	if m, ok := v.Table.Members[s.Owner]; ok && s.Owner != "" {
+		route.Owner = peerOf(m, v.self.Cell)
+	}
+}
+
+// contacts returns nodes of the cell that holds the range, or should hold it.
+func (v *routeView) contacts(r keyspace.Range) []plane.Peer {
+	found, ok := v.byCell[v.cellOf(r)]
+	id := r.ID()
+	for _, c := range v.Cells.Cells {
+		for _, held := range c.RangeIDs {
+			if held == id {
+				found, ok = c, true
+			}
+		}
+	}
+	if !ok {
+		return nil
+	}
+	out := make([]plane.Peer, 0, len(found.Contacts))
+	for _, m := range found.Contacts {
+		out = append(out, peerOf(m, found.Cell))
+	}
+	return out
+}
+
+// candidates returns the nodes that may serve a shared range.
+func (v *routeView) candidates(r keyspace.Range) []plane.Peer {
+	var out []plane.Peer
+	add := func(m cell.Member, cellName string) {
+		if m.Target.State != cell.TargetReady || !placement.Allowed(r.Targets, m.Name) {
+			return
+		}
+		if r.Region == "" || r.Region == m.Region {
+			out = append(out, peerOf(m, cellName))
+		}
+	}
+	if v.Table != nil {
+		for _, m := range v.Table.Members {
+			add(m, v.self.Cell)
+		}
+	}
+	for _, c := range v.Cells.Cells {
+		for _, m := range c.Contacts {
+			add(m, c.Cell)
+		}
+	}
+	return out
+}
+
+// learnedMax bounds the owners of other cells that redirects have named.
+const learnedMax = 4096
+
+// learned remembers owners in other cells.
+type learned struct {
+	mu     sync.Mutex
+	owners map[keyspace.SliceID]plane.Peer
+}
+
+func (l *learned) owner(id keyspace.SliceID) plane.Peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owners[id]
+}
+
+// Learn implements plane.Router.
+func (c *Control) Learn(slice keyspace.SliceID, owner plane.Peer) {
+	if owner.Cell == c.cfg.Cell {
+		return
+	}
+	l := &c.learned
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.owners == nil || len(l.owners) >= learnedMax {
+		l.owners = make(map[keyspace.SliceID]plane.Peer)
+	}
+	if owner.Name == "" {
+		delete(l.owners, slice)
+		return
+	}
+	l.owners[slice] = owner
+}
--- /dev/null
+++ b/node/control/rpc.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/wire/cellwire"
+	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
+)
+
+// rpcTimeout bounds one call between nodes; a later answer would be of no use.
+const rpcTimeout = time.Second
+
+// Heartbeat implements the controller's side of the protocol.
+func (c *Control) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	if err := c.checkOrigin(r.GetCluster(), r.GetCell()); err != nil {
+		return nil, err
+	}
+	h, err := cellwire.HeartbeatFromWire(r)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	effect, err := c.ask(ctx, cell.HeartbeatReceived{Heartbeat: h})
+	if err != nil {
+		return nil, err
+	}
+	a, ok := effect.(cell.AnswerHeartbeat)
+	if !ok {
+		return nil, status.Error(codes.Internal, "no answer to the heartbeat")
+	}
+	response, err := cellwire.AnswerToWire(nodeOf(c.cfg.Self), a.Answer)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return response, nil
+}
+
+// Promise implements the standby's side of the protocol.
+func (c *Control) Promise(ctx context.Context, r *pb.PromiseRequest) (*pb.PromiseResponse, error) {
+	if err := c.checkOrigin(r.GetCluster(), c.cfg.Cell); err != nil {
+		return nil, err
+	}
+	effect, err := c.ask(ctx, cell.PromiseAsked{Ask: cellwire.AskFromWire(r)})
+	if err != nil {
+		return nil, err
+	}
+	a, ok := effect.(cell.AnswerPromise)
+	if !ok {
+		return nil, status.Error(codes.Internal, "no answer to the request for a promise")
+	}
+	return cellwire.PromiseToWire(a.Answer), nil
+}
+
+// Poke implements a node's side of the protocol.
+func (c *Control) Poke(_ context.Context, r *pb.PokeRequest) (*pb.PokeResponse, error) {
+	if err := c.checkOrigin(r.GetCluster(), r.GetCell()); err != nil {
+		return nil, err
+	}
+	if r.GetEpoch() > 0 {
+		c.post(cell.Poked{Poke: cellwire.PokeFromWire(r)})
+	}
+	return cellwire.PokeAnswer(nodeOf(c.cfg.Self)), nil
+}
+
+func (c *Control) checkOrigin(cluster, cellName string) error {
+	if cluster != c.cfg.Cluster || cellName != c.cfg.Cell {
+		return status.Errorf(codes.PermissionDenied, "cluster %q, cell %q is not this node's", cluster, cellName)
+	}
+	return nil
+}
+
+// ask hands the loop an event and waits for the effect that answers it.
+func (c *Control) ask(ctx context.Context, event cell.Event) (cell.Effect, error) {
+	reply := make(chan cell.Effect, 1)
+	select {
+	case c.events <- envelope{event: event, reply: reply}:
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case <-c.stopped:
+		return nil, status.Error(codes.Unavailable, "the node stops")
+	}
+	select {
+	case effect := <-reply:
+		return effect, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case <-c.stopped:
+		return nil, status.Error(codes.Unavailable, "the node stops")
+	}
+}
+
+// call runs one call to another node without holding up the loop.
+func (c *Control) call(ctx context.Context, f func(ctx context.Context)) {
+	c.calls.Add(1)
+	go func() {
+		defer c.calls.Done()
+		ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
+		defer cancel()
+		f(ctx)
+	}()
+}
+
+func (c *Control) sendHeartbeat(ctx context.Context, e cell.SendHeartbeat) {
+	if e.To.Name == c.cfg.Self.Name {
+		c.local = append(c.local, cell.HeartbeatReceived{Heartbeat: e.Heartbeat})
+		return
+	}
+	request := cellwire.HeartbeatToWire(c.cfg.Cluster, c.cfg.Cell, e.Heartbeat)
+	c.call(ctx, func(ctx context.Context) {
+		client, err := c.peers.client(e.To.Address)
+		if err != nil {
+			return
+		}
+		response, err := client.Heartbeat(ctx, request)
+		c.metrics.sent("heartbeat", err)
+		if err != nil {
+			return
+		}
+		if from := cellwire.NodeFromWire(response.GetFrom()); from.Name == e.To.Name {
+			c.noteIncarnation(e.To.Node, from)
+		}
+		answer, err := cellwire.AnswerFromWire(response)
+		if err != nil {
+			c.log.Warn("heartbeat answer dropped", "reason", err.Error())
+			return
+		}
+		c.post(cell.HeartbeatAnswered{Answer: answer})
+	})
+}
+
+// noteIncarnation reports a process that was replaced by another on the same address.
+func (c *Control) noteIncarnation(want, got cell.Node) {
+	if got.Name == want.Name && want.Incarnation != 0 && got.Incarnation > want.Incarnation {
+		c.post(cell.PeerGone{Node: want})
+	}
+}
+
+func (c *Control) askPromise(ctx context.Context, e cell.AskPromise) {
+	request := cellwire.AskToWire(c.cfg.Cluster, e.Ask)
+	c.call(ctx, func(ctx context.Context) {
+		client, err := c.peers.client(e.To.Address)
+		if err != nil {
+			return
+		}
+		response, err := client.Promise(ctx, request)
+		c.metrics.sent("promise", err)
+		if err == nil {
+			c.post(cell.PromiseAnswered{Answer: cellwire.PromiseFromWire(response)})
+		}
+	})
+}
+
+func (c *Control) sendPoke(ctx context.Context, e cell.SendPoke) {
+	request := cellwire.PokeToWire(c.cfg.Cluster, c.cfg.Cell, e.Poke)
+	c.call(ctx, func(ctx context.Context) {
+		client, err := c.peers.client(e.To.Address)
+		if err != nil {
+			return
+		}
+		_, err = client.Poke(ctx, request)
+		c.metrics.sent("poke", err)
+	})
+}
--- /dev/null
+++ b/node/control/status.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// Owner is the owner of one slice in the node's route table.
+type Owner struct {
+	Slice  string `json:"slice"`
+	Owner  string `json:"owner"`
+	Moving bool   `json:"moving"`
+}
+
+// MemberStatus is one node of the cell; only the controller knows all fields.
+type MemberStatus struct {
+	Peer         plane.Peer `json:"peer"`
+	SilentMillis int64      `json:"silent_ms"`
+	Slices       int        `json:"slices"`
+	Leaving      bool       `json:"leaving"`
+}
+
+// Status describes the node's part in its cell.
+type Status struct {
+	Node         string         `json:"node"`
+	Incarnation  uint64         `json:"incarnation"`
+	Cell         string         `json:"cell"`
+	SheetVersion int64          `json:"sheet_version"`
+	Epoch        uint64         `json:"epoch"`
+	Controller   string         `json:"controller"`
+	Standby      string         `json:"standby"`
+	IsController bool           `json:"is_controller"`
+	HasAuthority bool           `json:"has_authority"`
+	Quiet        bool           `json:"quiet"`
+	StoreHealthy bool           `json:"store_healthy"`
+	InDoubt      bool           `json:"in_doubt"`
+	Leases       int            `json:"leases"`
+	Moving       int            `json:"moving"`
+	Members      []MemberStatus `json:"members"`
+	Owners       []Owner        `json:"owners"`
+}
+
+// Status returns the node's state as of the last tick.
+func (c *Control) Status() Status {
+	c.statusMu.Lock()
+	s := c.status
+	c.statusMu.Unlock()
+	if table := c.view.Load().Table; table != nil {
+		for _, id := range sortedRoutes(table) {
+			r := table.Routes[id]
+			s.Owners = append(s.Owners, Owner{Slice: id.String(), Owner: r.Owner, Moving: r.Moving})
+		}
+	}
+	return s
+}
+
+func (c *Control) publishStatus() {
+	m := c.machine.Status()
+	s := Status{
+		Node: c.cfg.Self.Name, Incarnation: c.cfg.Self.Incarnation, Cell: c.cfg.Cell,
+		SheetVersion: m.SheetVersion, Epoch: m.Epoch, Controller: m.Controller.Name, Standby: m.Standby.Name,
+		IsController: m.IsController, HasAuthority: m.HasAuthority, Quiet: m.Quiet,
+		StoreHealthy: !m.StoreDown, InDoubt: m.InDoubt, Leases: m.Held, Moving: m.Moving,
+	}
+	for _, n := range m.Members {
+		s.Members = append(s.Members, MemberStatus{
+			Peer: peerOf(n.Member, c.cfg.Cell), SilentMillis: n.Silent.Milliseconds(), Slices: n.Slices, Leaving: n.Leaving,
+		})
+	}
+	if len(s.Members) == 0 {
+		s.Members = membersOf(c.view.Load().Table, c.cfg.Cell)
+	}
+	c.metrics.observe(m)
+	c.statusMu.Lock()
+	c.status = s
+	c.statusMu.Unlock()
+}
+
+// membersOf lists the nodes that the route table names.
+func membersOf(table *cell.Table, cellName string) []MemberStatus {
+	if table == nil {
+		return nil
+	}
+	var out []MemberStatus
+	for _, name := range sortedMembers(table) {
+		out = append(out, MemberStatus{Peer: peerOf(table.Members[name], cellName)})
+	}
+	return out
+}
--- /dev/null
+++ b/node/control/watch.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+const (
+	// sheetKey is the object that holds the accepted sheet.
+	sheetKey = "sheet/current"
+	// watchRetry is the wait after a watch that failed.
+	watchRetry = 500 * time.Millisecond
+)
+
+// watch starts or ends the controller's watches of the sheet and of the other cells.
+func (c *Control) watch(ctx context.Context, on bool) {
+	if c.watches != nil {
+		c.watches()
+		c.watches = nil
+	}
+	if !on {
+		return
+	}
+	ctx, c.watches = context.WithCancel(ctx)
+	c.calls.Add(2)
+	go c.follow(ctx, sheetKey, c.sheetChanged)
+	go c.follow(ctx, cellsPrefix, c.cellsChanged)
+}
+
+// follow lists the objects below a prefix and polls for changes until the context ends.
+func (c *Control) follow(ctx context.Context, prefix string, changed func(platform.Version, map[string]platform.Object)) {
+	defer c.calls.Done()
+	for ctx.Err() == nil {
+		listing, err := c.list(ctx, prefix)
+		if err != nil {
+			c.pause(ctx, prefix, err)
+			continue
+		}
+		objects := make(map[string]platform.Object)
+		for _, o := range listing.Objects {
+			objects[o.Key] = o
+		}
+		changed(listing.Version, objects)
+		c.poll(ctx, prefix, listing.Version, objects, changed)
+	}
+}
+
+func (c *Control) list(ctx context.Context, prefix string) (platform.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	listing, err := c.store.List(ctx, prefix)
+	c.metrics.stored("list", err)
+	return listing, errors.Wrap(err, "list")
+}
+
+// poll follows changes until a poll fails; then the state is listed again.
+func (c *Control) poll(ctx context.Context, prefix string, after platform.Version, objects map[string]platform.Object, changed func(platform.Version, map[string]platform.Object)) {
+	for ctx.Err() == nil {
+		batch, err := c.store.Poll(ctx, prefix, after)
+		c.metrics.stored("poll", err)
+		if err != nil {
+			c.pause(ctx, prefix, err)
+			return
+		}
+		if batch.Reset {
+			clear(objects)
+		}
+		for _, e := range batch.Events {
+			merge(objects, e)
+		}
+		after = max(after, batch.Next)
+		if len(batch.Events) > 0 || batch.Reset {
+			changed(after, objects)
+		}
+	}
+}
+
+// merge takes a change unless the object is already known at a newer version.
+func merge(objects map[string]platform.Object, e platform.Event) {
+	if old, ok := objects[e.Object.Key]; ok && old.Version > e.Object.Version {
+		return
+	}
+	if e.Deleted {
+		delete(objects, e.Object.Key)
+		return
+	}
+	objects[e.Object.Key] = e.Object
+}
+
+func (c *Control) pause(ctx context.Context, prefix string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.log.Warn("watch interrupted", "prefix", prefix, "reason", err.Error())
+	select {
+	case <-time.After(watchRetry):
+	case <-ctx.Done():
+	}
+}
+
+// storedSheet is the part of the sheet object that the control side needs.
+type storedSheet struct {
+	Layout keyspace.Layout `json:"layout"`
+}
+
+func (c *Control) sheetChanged(_ platform.Version, objects map[string]platform.Object) {
+	o, ok := objects[sheetKey]
+	if !ok {
+		return
+	}
+	var sheet storedSheet
+	if err := json.Unmarshal(o.Value, &sheet); err != nil {
+		c.log.Error("sheet not understood", "reason", err.Error(), "version", int64(o.Version))
+		return
+	}
+	sheet.Layout.Version = int64(o.Version)
+	c.post(cell.SheetRead{Layout: &sheet.Layout})
+}
+
+func (c *Control) cellsChanged(version platform.Version, objects map[string]platform.Object) {
+	e := cell.CellsRead{Version: int64(version)}
+	for key, o := range objects {
+		if key == c.recordKey() || !strings.HasPrefix(key, cellsPrefix) {
+			continue
+		}
+		record, err := cell.DecodeRecord(o.Value)
+		if err != nil {
+			c.log.Error("record of another cell not understood", "key", key, "reason", err.Error())
+			return
+		}
+		e.Cells = append(e.Cells, record.Summary())
+	}
+	slices.SortFunc(e.Cells, func(a, b cell.OtherCell) int { return strings.Compare(a.Cell, b.Cell) })
+	c.post(e)
+}
--- a/node/plane/plane.go
+++ b/node/plane/plane.go
@@ -8,10 +8,15 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 )
 
+// ErrNotReady reports that the node has no sheet or route table yet.
+var ErrNotReady = errors.New("routes are not known yet")
+
 // Peer is one node as others reach it.
 type Peer struct {
 	// Name is the name of the node's VM, from its settings.
@@ -50,7 +55,9 @@
 	State TargetState
 	// Incarnation is the target process's own, from its announcement.
 	Incarnation uint64
-	Slots       uint32
+	// Address is the IP address and port at which the target takes work.
+	Address string
+	Slots   uint32
 	// InFlight counts requests that the node has sent and that are not answered.
 	InFlight uint32
 	// Utilization is the measured share of the slots in use, in thousandths.
@@ -118,7 +125,8 @@
 
 // Router is the control side as the request side sees it.
 type Router interface {
-	// Locate returns the route of key; it fails with the errors of package keyspace.
+	// Locate returns the route of key; it fails with ErrNotReady or the errors of
+	// package keyspace.
 	Locate(service, key string) (Route, error)
 	// Learn records an owner named by a redirect. An owner of the node's own cell is ignored.
 	Learn(slice keyspace.SliceID, owner Peer)
