--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/auburnrelay/auburnrelay/core/balance"
+	"github.com/auburnrelay/auburnrelay/core/retry"
+	"github.com/auburnrelay/auburnrelay/node/bootclock"
+	"github.com/auburnrelay/auburnrelay/node/control"
+	"github.com/auburnrelay/auburnrelay/node/entry"
+	"github.com/auburnrelay/auburnrelay/node/forward"
+	"github.com/auburnrelay/auburnrelay/node/owner"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+	"github.com/auburnrelay/auburnrelay/node/settings"
+	"github.com/auburnrelay/auburnrelay/node/target"
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+const (
+	// defaultDeadline is given to requests that name none.
+	defaultDeadline = 30 * time.Second
+	// holdMax is the longest wait of a request for an owner: a loss and its recovery.
+	holdMax = 4 * time.Second
+	// holdLimit is the number of requests that may wait for owners at one time.
+	holdLimit = 4096
+	// retryPause is the wait before the same owner is asked again.
+	retryPause = 50 * time.Millisecond
+	// keepaliveFloor is the shortest time between two pings that peers may send.
+	keepaliveFloor = 5 * time.Second
+)
+
+// Node is one daemon with all its parts, provisioned but not yet running.
+type Node struct {
+	settings  *settings.Settings
+	log       *slog.Logger
+	registry  *prometheus.Registry
+	store     platform.Store
+	link      *target.Link
+	owner     *owner.Owner
+	control   *control.Control
+	pool      *forward.Pool
+	dispatch  *entry.Dispatcher
+	entry     *http.Server
+	admin     *http.Server
+	local     *http.Server
+	peers     *grpc.Server
+	listeners listeners
+}
+
+// listeners are the node's open ports.
+type listeners struct {
+	entry, peer, target, admin net.Listener
+}
+
+// Provision builds a node from its settings over the store and opens its ports. It fails
+// with the first part that cannot be built; nothing stays open then.
+func Provision(s *settings.Settings, store platform.Store, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, store: store, registry: prometheus.NewRegistry()}
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for _, step := range []func() error{n.provisionOwner, n.provisionControl, n.provisionEntry, n.provisionServers, n.listen} {
+		if err := step(); err != nil {
+			n.closeListeners()
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) provisionOwner() error {
+	s := n.settings
+	config := target.DefaultConfig(s.Node.Name, bootclock.Now, n.log.With("part", "target"))
+	config.MaxConns = s.Target.MaxConnections
+	config.ProbeInterval = s.Target.ProbeInterval.Std()
+	config.ProbeTimeout = s.Target.ProbeTimeout.Std()
+	link, err := target.New(config)
+	if err != nil {
+		return err
+	}
+	metrics, err := owner.NewMetrics(n.registry)
+	if err != nil {
+		return err
+	}
+	ownerConfig := owner.DefaultConfig(regionNodes, bootclock.Now, n.log.With("part", "owner"))
+	ownerConfig.Metrics = metrics
+	ownerConfig.MaxConcurrent = s.Target.MaxConnections
+	n.link = link
+	n.owner, err = owner.New(ownerConfig, link)
+	return err
+}
+
+// regionNodes is the number of nodes that share a region's link.
+const regionNodes = 4
+
+func (n *Node) provisionControl() error {
+	s := n.settings
+	self := plane.Peer{
+		Name:          s.Node.Name,
+		Incarnation:   rand.Uint64(),
+		Address:       s.Listen.AdvertisePeer,
+		EntryAddress:  s.Listen.AdvertiseEntry,
+		Region:        s.Node.Region,
+		FailureDomain: s.Node.FailureDomain,
+		Cell:          s.Node.Cell,
+	}
+	config := control.Config{
+		Self:     self,
+		Cluster:  s.Cluster.Name,
+		Cell:     s.Node.Cell,
+		Timing:   s.Timing.Cell(),
+		Logger:   n.log.With("part", "control"),
+		Registry: n.registry,
+		Dial:     dialFrom(s.Listen.Peer),
+	}
+	var err error
+	n.control, err = control.New(config, n.store, n.owner)
+	return err
+}
+
+func (n *Node) provisionEntry() error {
+	s := n.settings
+	n.pool = forward.NewPool(s.Limits.PeerConnections, grpc.WithContextDialer(dialFrom(s.Listen.Peer)))
+	policy := retry.DefaultPolicy()
+	policy.Ratio = s.Load.RetryShare
+	n.dispatch = entry.NewDispatcher(
+		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause},
+		entry.Parts{
+			Router:  n.control,
+			Local:   n.owner,
+			Remote:  forward.NewClient(s.Cluster.Name, n.pool),
+			Chooser: &lockedChooser{region: s.Node.Region, picker: balance.New(balance.DefaultPolicy())},
+			Budget:  &lockedBudget{budget: retry.New(policy)},
+			Ledger:  uncounted{},
+			Log:     n.log.With("part", "entry"),
+		})
+	limits := entry.Limits{
+		KeyBytes:        s.Limits.KeyBytes,
+		BodyBytes:       s.Limits.BodyBytes,
+		DefaultDeadline: min(defaultDeadline, s.Limits.MaxDeadline.Std()),
+		MaxDeadline:     s.Limits.MaxDeadline.Std(),
+	}
+	n.entry = entry.NewHandler(n.dispatch, limits, n.log.With("part", "entry")).NewServer(s.Limits.HeaderBytes)
+	return nil
+}
+
+func (n *Node) provisionServers() error {
+	n.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+		MinTime:             keepaliveFloor,
+		PermitWithoutStream: true,
+	}))
+	n.control.Register(n.peers)
+	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
+	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
+	n.admin = newAdminServer(adminSource{ready: n.ready, status: n.status, gatherer: n.registry})
+	n.local = &http.Server{Handler: n.link.Handler(), ReadHeaderTimeout: adminHeaderTimeout}
+	return nil
+}
+
+func (n *Node) listen() error {
+	wanted := []struct {
+		field   string
+		address string
+		into    *net.Listener
+	}{
+		{"listen.entry", n.settings.Listen.Entry, &n.listeners.entry},
+		{"listen.peer", n.settings.Listen.Peer, &n.listeners.peer},
+		{"listen.target", n.settings.Listen.Target, &n.listeners.target},
+		{"listen.admin", n.settings.Listen.Admin, &n.listeners.admin},
+	}
+	for _, w := range wanted {
+		l, err := net.Listen("tcp", w.address)
+		if err != nil {
+			return errors.Wrap(err, w.field)
+		}
+		*w.into = l
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.listeners.entry, n.listeners.peer, n.listeners.target, n.listeners.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// dialFrom returns a dialler that sends from the IP number of the local address, so that
+// peers see which VM calls.
+func dialFrom(local string) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if host, _, err := net.SplitHostPort(local); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			dialer.LocalAddr = &net.TCPAddr{IP: ip}
+		}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
+
+// dialTimeout bounds the opening of a connection to a peer.
+const dialTimeout = 500 * time.Millisecond
+
+// ready reports whether the node can find owners.
+func (n *Node) ready() (bool, string) {
+	if n.control.Status().Epoch == 0 {
+		return false, "the cell's record has not been read"
+	}
+	return true, ""
+}
+
+// Status is the node's state as the admin listener shows it.
+type Status struct {
+	control.Status
+	Target target.Info `json:"target"`
+	// Held is the number of callers' requests that wait for an owner.
+	Held int64 `json:"held"`
+	// PeerConnections is the number of open connections to other nodes.
+	PeerConnections int `json:"peer_connections"`
+}
+
+func (n *Node) status() any {
+	return Status{
+		Status:          n.control.Status(),
+		Target:          n.link.Info(),
+		Held:            n.dispatch.Held(),
+		PeerConnections: n.pool.Size(),
+	}
+}
--- a/node/settings/defaults.go
+++ b/node/settings/defaults.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+)
 
 // Defaults returns the settings of a file that sets nothing. Names, addresses and the
 // store's URL have no default.
@@ -34,12 +38,14 @@
 }
 
 func defaultTiming() Timing {
+	protocol := cell.DefaultTiming()
 	return Timing{
-		Lease:         Duration(1500 * time.Millisecond),
-		Promise:       Duration(1200 * time.Millisecond),
-		Tick:          Duration(300 * time.Millisecond),
+		Lease:         Duration(protocol.Lease),
+		Promise:       Duration(protocol.Promise),
+		Tick:          Duration(protocol.Heartbeat),
+		Ask:           Duration(protocol.Ask),
 		DrainTimeout:  Duration(10 * time.Minute),
-		DriftPerMille: 10,
+		DriftPerMille: protocol.DriftPerMille,
 	}
 }
 
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -5,6 +5,7 @@
 package settings
 
 import (
+	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/sheet"
 )
 
@@ -84,10 +85,23 @@
 	Promise Duration `toml:"promise" validate:"gt=0"`
 	// Tick is the time between two heartbeats.
 	Tick Duration `toml:"tick" validate:"gt=0"`
+	// Ask is the time between the controller's requests for a promise.
+	Ask Duration `toml:"ask" validate:"gt=0"`
 	// DrainTimeout bounds the wait for work in flight when the node stops.
 	DrainTimeout Duration `toml:"drain_timeout" validate:"gt=0"`
 	// DriftPerMille is the greatest difference in rate between two clocks, in thousandths.
-	DriftPerMille int `toml:"drift_per_mille" validate:"gte=0,lte=100"`
+	DriftPerMille int64 `toml:"drift_per_mille" validate:"gte=0,lte=100"`
+}
+
+// Cell returns the durations as the cell's protocol takes them.
+func (t Timing) Cell() cell.Timing {
+	return cell.Timing{
+		Lease:         t.Lease.Std(),
+		Promise:       t.Promise.Std(),
+		Heartbeat:     t.Tick.Std(),
+		Ask:           t.Ask.Std(),
+		DriftPerMille: t.DriftPerMille,
+	}
 }
 
 // LoadPolicy is the policy of admission and balance.
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -50,8 +50,11 @@
 // checkTiming reports times that are right on their own but not together.
 func (s *Settings) checkTiming() Faults {
 	var faults Faults
-	if s.Timing.Promise < 3*s.Timing.Tick {
-		faults = append(faults, Fault{Path: "timing.promise", Problem: "must be at least three times timing.tick"})
+	if s.Timing.Promise < 3*s.Timing.Ask {
+		faults = append(faults, Fault{Path: "timing.promise", Problem: "must be at least three times timing.ask"})
+	}
+	if s.Timing.Lease < 3*s.Timing.Tick {
+		faults = append(faults, Fault{Path: "timing.lease", Problem: "must be at least three times timing.tick"})
 	}
 	if s.Timing.Lease < s.Timing.Promise {
 		faults = append(faults, Fault{Path: "timing.lease", Problem: "must be at least timing.promise"})
