Serve requests at the owner under a lease, a window of ids and admission

The request side of a node had no owner yet. This adds the link to the local target (announcements, probes, grants, calls with a proof of what was sent), the owner (lease gate, window of request ids, quarantine, admission queue) and the pure decisions behind them.

A connection counts the bytes given to it, so a failed call is said not to have run only when none were; the lease is asked again at the first write.

Tests: go test -race ./owner (node), go test ./outcome (core). Admission, balance, quarantine, retry and pacing have no tests of their own yet.

--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,259 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// Work is one request that asks for a slot.
+type Work struct {
+	// ID tells works of one Queue apart.
+	ID    uint64
+	Class Class
+	// Key is a hash of the service and the key.
+	Key uint64
+	// Deadline is when the answer is no longer wanted; zero means never.
+	Deadline time.Duration
+	// Alone marks work that may run beside ordinary work, but not beside other work so marked.
+	Alone bool
+}
+
+// Verdict is what becomes of offered work.
+type Verdict uint8
+
+const (
+	// Start means that the work has a slot.
+	Start Verdict = iota + 1
+	// Wait means that the work is queued; Next will name it.
+	Wait
+	// Drop means that the work is refused and has not run.
+	Drop
+)
+
+// Decision is a verdict on one piece of work.
+type Decision struct {
+	ID      uint64
+	Verdict Verdict
+	// Reason is set for Drop.
+	Reason outcome.Reason
+	// Waited is the time that the work was queued.
+	Waited time.Duration
+}
+
+type item struct {
+	Work
+	arrived time.Duration
+	started time.Duration
+	// expected is the work time expected on arrival.
+	expected time.Duration
+	long     bool
+}
+
+// Queue admits work to the slots of one target.
+type Queue struct {
+	policy  Policy
+	learner learner
+	slots   int
+	// warmSince is when the target became ready.
+	warmSince time.Duration
+	// pushbacks holds the times at which withheld slots are given back.
+	pushbacks []time.Duration
+
+	running map[uint64]*item
+	// runningLong, runningAlone and keyRunning count the running items.
+	runningLong  int
+	runningAlone int
+	keyRunning   map[uint64]int
+
+	// short and long hold waiting items in order of arrival.
+	short []*item
+	long  []*item
+	// keyWaiting counts the waiting items of each key.
+	keyWaiting map[uint64]int
+
+	delay delayGauge
+}
+
+// NewQueue returns a queue without slots; SetSlots gives it some. It fails with ErrPolicy.
+func NewQueue(policy Policy) (*Queue, error) {
+	if err := policy.Check(); err != nil {
+		return nil, err
+	}
+	return &Queue{
+		policy:     policy,
+		learner:    newLearner(),
+		running:    map[uint64]*item{},
+		keyRunning: map[uint64]int{},
+		keyWaiting: map[uint64]int{},
+		delay:      delayGauge{target: policy.DelayTarget, interval: policy.DelayInterval},
+	}, nil
+}
+
+// SetSlots sets the number of slots. A target that became ready at warmSince is given them
+// little by little.
+func (q *Queue) SetSlots(slots int, warmSince time.Duration) {
+	q.slots = slots
+	q.warmSince = warmSince
+}
+
+// Pushback withholds one slot for a while because the target has shed a request.
+func (q *Queue) Pushback(now time.Duration) {
+	if q.policy.Pushback > 0 && len(q.pushbacks) < q.slots-1 {
+		q.pushbacks = append(q.pushbacks, now+q.policy.Pushback)
+	}
+}
+
+// Running returns the number of works that hold slots.
+func (q *Queue) Running() int { return len(q.running) }
+
+// Waiting returns the number of queued works.
+func (q *Queue) Waiting() int { return len(q.short) + len(q.long) }
+
+// Slots returns the number of slots that may be used at a time.
+func (q *Queue) Slots(now time.Duration) int {
+	if q.policy.Discipline == FirstCome || q.slots == 0 {
+		return q.slots
+	}
+	q.pushbacks = slices.DeleteFunc(q.pushbacks, func(end time.Duration) bool { return end <= now })
+	warm := 1.0
+	if age := now - q.warmSince; age < q.policy.Warmup {
+		progress := float64(max(age, 0)) / float64(q.policy.Warmup)
+		warm = q.policy.WarmupShare + (1-q.policy.WarmupShare)*progress
+	}
+	warmed := int(math.Ceil(float64(q.slots) * warm))
+	return max(1, warmed-len(q.pushbacks))
+}
+
+// Offer decides on new work.
+func (q *Queue) Offer(now time.Duration, work Work) Decision {
+	it := &item{Work: work, arrived: now, expected: q.expectedWork(work.Class), long: q.isLong(work.Class)}
+	if work.Deadline != 0 && now >= work.Deadline {
+		return Decision{ID: work.ID, Verdict: Drop, Reason: outcome.ReasonDeadline}
+	}
+	q.checkOverruns(now)
+	if q.mayStart(now, it) && !q.anyWaitingBefore(it) {
+		q.start(now, it)
+		return Decision{ID: work.ID, Verdict: Start}
+	}
+	if reason := q.refuse(now, it); reason != "" {
+		return Decision{ID: work.ID, Verdict: Drop, Reason: reason}
+	}
+	q.enqueue(it)
+	return Decision{ID: work.ID, Verdict: Wait}
+}
+
+// anyWaitingBefore reports whether waiting work of the item's kind could start as well. Items
+// that wait for their key's share or for their turn alone do not hold up others.
+func (q *Queue) anyWaitingBefore(it *item) bool {
+	line := q.lineOf(it)
+	return slices.ContainsFunc(*line, func(other *item) bool { return q.keyFree(other, q.keySoftLimit()) })
+}
+
+// refuse returns why the item may not wait, or "" if it may.
+func (q *Queue) refuse(now time.Duration, it *item) outcome.Reason {
+	line := q.lineOf(it)
+	if len(*line) >= q.policy.QueueLength {
+		return outcome.ReasonShed
+	}
+	if q.policy.Discipline == FirstCome {
+		return ""
+	}
+	half := q.policy.QueueLength / 2
+	share := max(1, int(float64(q.policy.QueueLength)*q.policy.KeyShare))
+	if q.Waiting() >= half && q.keyWaiting[it.Key] >= min(share, half) {
+		return outcome.ReasonKeyShare
+	}
+	if it.Deadline != 0 && now+q.expectedWait(now, it)+it.expected > it.Deadline {
+		return outcome.ReasonShed
+	}
+	return ""
+}
+
+// expectedWait estimates how long the item would be queued behind its own kind.
+func (q *Queue) expectedWait(now time.Duration, it *item) time.Duration {
+	ahead := time.Duration(len(*q.lineOf(it))) * it.expected
+	slots := q.Slots(now)
+	if it.long {
+		slots = q.longLimit(slots)
+	}
+	return ahead / time.Duration(max(slots, 1))
+}
+
+func (q *Queue) expectedWork(class Class) time.Duration {
+	if estimate, known := q.learner.estimate(class); known {
+		return estimate
+	}
+	return q.learner.typical()
+}
+
+// Finish frees the slot of work that has ended and returns how long it held it. Only work that
+// ran to its end teaches.
+func (q *Queue) Finish(now time.Duration, id uint64, ran bool) time.Duration {
+	it, known := q.running[id]
+	if !known {
+		return 0
+	}
+	delete(q.running, id)
+	q.count(it, -1)
+	took := now - it.started
+	if ran {
+		q.learner.observe(now, it.Class, took)
+		q.learner.observeTypical(took)
+	}
+	return took
+}
+
+// Abandon removes waiting work whose caller left; it reports false if the work does not wait.
+func (q *Queue) Abandon(id uint64) bool {
+	for _, line := range []*[]*item{&q.short, &q.long} {
+		i := slices.IndexFunc(*line, func(it *item) bool { return it.ID == id })
+		if i >= 0 {
+			q.remove(line, i)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) lineOf(it *item) *[]*item {
+	if it.long && q.policy.Discipline == Protected {
+		return &q.long
+	}
+	return &q.short
+}
+
+func (q *Queue) enqueue(it *item) {
+	line := q.lineOf(it)
+	*line = append(*line, it)
+	q.keyWaiting[it.Key]++
+}
+
+func (q *Queue) remove(line *[]*item, i int) *item {
+	it := (*line)[i]
+	*line = slices.Delete(*line, i, i+1)
+	if q.keyWaiting[it.Key]--; q.keyWaiting[it.Key] == 0 {
+		delete(q.keyWaiting, it.Key)
+	}
+	return it
+}
+
+func (q *Queue) start(now time.Duration, it *item) {
+	it.started = now
+	q.running[it.ID] = it
+	q.count(it, 1)
+}
+
+func (q *Queue) count(it *item, n int) {
+	if it.long {
+		q.runningLong += n
+	}
+	if it.Alone {
+		q.runningAlone += n
+	}
+	if q.keyRunning[it.Key] += n; q.keyRunning[it.Key] == 0 {
+		delete(q.keyRunning, it.Key)
+	}
+}
--- /dev/null
+++ b/core/balance/balance.go
@@ -0,0 +1,236 @@
+// Package balance picks a target for a request that any of several may serve.
+//
+// It trusts what the node measured itself, requests in flight and time to answer, and not
+// what targets report of their load. Targets of the own region come first; two of them are
+// drawn and the one with the less expected wait is taken.
+//
+// A Picker is pure: times and random numbers are passed in, and the user serialises the calls.
+package balance
+
+import "time"
+
+// Policy holds the settings of a Picker.
+type Policy struct {
+	// Smoothing is the weight of one answer in a target's latency.
+	Smoothing float64
+	// Forget is how long a measured latency counts in full; after it the target is tried again
+	// as though it were average.
+	Forget time.Duration
+	// Penalty is how long a target that could not be reached is avoided.
+	Penalty time.Duration
+	// Warmup is how long a target that is new here is given less work.
+	Warmup time.Duration
+	// SpillInFlight is the number of requests in flight per slot, at the better of two targets
+	// of the own region, from which another region is considered.
+	SpillInFlight float64
+	// Random selects a target at random and ignores all measurements: the baseline.
+	Random bool
+}
+
+// DefaultPolicy returns the settings that docs/design/load.md justifies.
+func DefaultPolicy() Policy {
+	return Policy{
+		Smoothing:     0.1,
+		Forget:        5 * time.Second,
+		Penalty:       time.Second,
+		Warmup:        3 * time.Second,
+		SpillInFlight: 3,
+	}
+}
+
+// Candidate is a node whose target may serve the request.
+type Candidate struct {
+	// Name is the name of the node's VM.
+	Name string
+	// Incarnation is the node's; a new one starts without a history.
+	Incarnation uint64
+	// Near tells that the node stands in the own region.
+	Near bool
+	// Slots is the number of slots of the target; zero counts as one.
+	Slots int
+	// Ready tells that the target takes work as far as is known.
+	Ready bool
+}
+
+// record is what was measured of one target.
+type record struct {
+	incarnation uint64
+	firstSeen   time.Duration
+	inFlight    int
+	// latency is smoothed, per request that was in flight, in seconds.
+	latency     float64
+	measuredAt  time.Duration
+	failedUntil time.Duration
+	lastUsed    time.Duration
+}
+
+// Picker holds the measurements of one node.
+type Picker struct {
+	policy  Policy
+	records map[string]*record
+	// born is when the first target was seen; zero before.
+	born time.Duration
+}
+
+// maxRecords bounds the remembered targets.
+const maxRecords = 4096
+
+// New returns a picker without measurements.
+func New(policy Policy) *Picker { return &Picker{policy: policy, records: map[string]*record{}} }
+
+// Pick returns the index of the chosen candidate and false if none is ready. intn returns a
+// random number in [0, n).
+func (p *Picker) Pick(now time.Duration, candidates []Candidate, intn func(n int) int) (int, bool) {
+	near, far := p.split(now, candidates)
+	first, second := near, far
+	if len(first) == 0 {
+		first, second = far, nil
+	}
+	if len(first) == 0 {
+		return 0, false
+	}
+	chosen := p.better(now, candidates, first, intn)
+	if len(second) > 0 && p.saturated(candidates[chosen]) {
+		other := p.better(now, candidates, second, intn)
+		if !p.saturated(candidates[other]) {
+			return other, true
+		}
+	}
+	return chosen, true
+}
+
+// split returns the indexes of the usable candidates of the own region and of others. Those
+// that failed lately are left out unless nothing else remains.
+func (p *Picker) split(now time.Duration, candidates []Candidate) (near, far []int) {
+	for _, avoidFailed := range []bool{true, false} {
+		for i, c := range candidates {
+			if !c.Ready || avoidFailed && p.record(now, c).failedUntil > now {
+				continue
+			}
+			if c.Near {
+				near = append(near, i)
+			} else {
+				far = append(far, i)
+			}
+		}
+		if len(near)+len(far) > 0 {
+			return near, far
+		}
+	}
+	return near, far
+}
+
+// better draws two of the indexes and returns the one with the lower cost.
+func (p *Picker) better(now time.Duration, candidates []Candidate, indexes []int, intn func(n int) int) int {
+	i := intn(len(indexes))
+	if len(indexes) == 1 || p.policy.Random {
+		return indexes[i]
+	}
+	j := intn(len(indexes) - 1)
+	if j >= i {
+		j++
+	}
+	a, b := indexes[i], indexes[j]
+	if p.cost(now, candidates[b]) < p.cost(now, candidates[a]) {
+		return b
+	}
+	return a
+}
+
+// cost estimates the wait for an answer in seconds.
+func (p *Picker) cost(now time.Duration, c Candidate) float64 {
+	r := p.record(now, c)
+	latency := r.latency
+	if latency == 0 || now-r.measuredAt > p.policy.Forget {
+		latency = p.averageLatency(now)
+	}
+	load := float64(r.inFlight+1) / float64(max(c.Slots, 1))
+	return latency * load / p.warmth(now, r)
+}
+
+// warmth grows from a quarter to one while a target is new.
+func (p *Picker) warmth(now time.Duration, r *record) float64 {
+	age := now - r.firstSeen
+	if r.firstSeen == 0 || age >= p.policy.Warmup {
+		return 1
+	}
+	return 0.25 + 0.75*float64(age)/float64(p.policy.Warmup)
+}
+
+func (p *Picker) averageLatency(now time.Duration) float64 {
+	sum, n := 0.0, 0
+	for _, r := range p.records {
+		if r.latency > 0 && now-r.measuredAt <= p.policy.Forget {
+			sum += r.latency
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+func (p *Picker) saturated(c Candidate) bool {
+	r, known := p.records[c.Name]
+	return known && float64(r.inFlight) >= p.policy.SpillInFlight*float64(max(c.Slots, 1))
+}
+
+// Started records that a request goes to the candidate.
+func (p *Picker) Started(now time.Duration, c Candidate) {
+	r := p.record(now, c)
+	r.inFlight++
+	r.lastUsed = now
+}
+
+// Finished records that a request to the candidate has ended: after took, and whether the
+// target could be reached at all. Refused and failed requests teach no latency: a target that
+// refuses quickly must not look fast.
+func (p *Picker) Finished(now time.Duration, c Candidate, took time.Duration, answered, reached bool) {
+	r := p.record(now, c)
+	r.inFlight = max(r.inFlight-1, 0)
+	if !reached {
+		r.failedUntil = now + p.policy.Penalty
+	}
+	if !answered {
+		return
+	}
+	sample := took.Seconds()
+	if r.latency == 0 {
+		r.latency = sample
+	}
+	r.latency += p.policy.Smoothing * (sample - r.latency)
+	r.measuredAt = now
+}
+
+// record returns the candidate's record; a restarted node begins a new one.
+func (p *Picker) record(now time.Duration, c Candidate) *record {
+	r, known := p.records[c.Name]
+	if known && r.incarnation == c.Incarnation {
+		return r
+	}
+	if len(p.records) >= maxRecords {
+		p.forgetIdle()
+	}
+	r = &record{incarnation: c.Incarnation, lastUsed: now}
+	if len(p.records) == 0 {
+		p.born = now
+	}
+	// Targets that are there when the node starts are not new, only unknown.
+	if now-p.born >= p.policy.Warmup {
+		r.firstSeen = now
+	}
+	p.records[c.Name] = r
+	return r
+}
+
+// forgetIdle drops the record that was not used for longest.
+func (p *Picker) forgetIdle() {
+	oldest := ""
+	for name, r := range p.records {
+		if oldest == "" || r.lastUsed < p.records[oldest].lastUsed {
+			oldest = name
+		}
+	}
+	delete(p.records, oldest)
+}
--- /dev/null
+++ b/core/outcome/handover.go
@@ -0,0 +1,118 @@
+package outcome
+
+import (
+	"bytes"
+	"encoding/gob"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+)
+
+// ErrMalformedWindow reports a handed-over window that cannot be read.
+var ErrMalformedWindow = errors.New("malformed window of request ids")
+
+// idBytes is the encoded size of one id without its answer, rounded up.
+const idBytes = 48
+
+type encodedWindow struct {
+	Floor   uint64
+	Entries []encodedEntry
+}
+
+type encodedEntry struct {
+	ID      []byte
+	Outcome Outcome
+	Reason  Reason
+	Answer  *Answer
+}
+
+// Encode returns the window for the next owner. Ids that still run are written as unknown.
+// When the ids do not fit, the oldest are left out and the floor rises above them; answers
+// fill what room is left, newest first.
+func (w *Window) Encode() ([]byte, error) {
+	out := encodedWindow{Floor: w.floor}
+	entries := w.byAge()
+	if excess := len(entries) - w.limits.EncodedBytes/idBytes; excess > 0 {
+		out.Floor = max(out.Floor, entries[excess-1].id.Time()+1)
+		entries = entries[excess:]
+	}
+	room := w.limits.EncodedBytes - len(entries)*idBytes
+	for _, e := range slices.Backward(entries) {
+		enc := e.encode()
+		if enc.Answer != nil && enc.Answer.size() > room {
+			enc.Answer = nil
+		}
+		if enc.Answer != nil {
+			room -= enc.Answer.size()
+		}
+		out.Entries = append(out.Entries, enc)
+	}
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(out); err != nil {
+		return nil, errors.Wrap(err, "encode window of request ids")
+	}
+	return buf.Bytes(), nil
+}
+
+func (e *entry) encode() encodedEntry {
+	if e.running {
+		return encodedEntry{ID: e.id.Bytes(), Outcome: Unknown, Reason: ReasonDuplicate}
+	}
+	return encodedEntry{ID: e.id.Bytes(), Outcome: e.end.Outcome, Reason: e.end.Reason, Answer: e.answer}
+}
+
+// DecodeWindow returns the window that a former owner encoded. It fails with
+// ErrMalformedWindow; the new owner must then start from an empty window.
+func DecodeWindow(limits Limits, data []byte) (*Window, error) {
+	var in encodedWindow
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&in); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode window of request ids"), ErrMalformedWindow)
+	}
+	w := NewWindow(limits, time.Time{})
+	w.floor = in.Floor
+	for _, enc := range in.Entries {
+		var id ulid.ULID
+		if err := id.UnmarshalBinary(enc.ID); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "decode request id"), ErrMalformedWindow)
+		}
+		w.restore(id, enc)
+	}
+	return w, nil
+}
+
+func (w *Window) restore(id ulid.ULID, enc encodedEntry) {
+	w.entries[id] = &entry{id: id, running: true}
+	w.Finish(id, End{Outcome: enc.Outcome, Reason: enc.Reason}, enc.Answer)
+}
+
+// byAge returns all entries, oldest first.
+func (w *Window) byAge() []*entry {
+	entries := make([]*entry, 0, len(w.entries))
+	for _, e := range w.entries {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b *entry) int { return a.id.Compare(b.id) })
+	return entries
+}
+
+// entryHeap is a heap of ended entries, oldest id first.
+type entryHeap []*entry
+
+func (h entryHeap) Len() int           { return len(h) }
+func (h entryHeap) Less(i, j int) bool { return h[i].id.Compare(h[j].id) < 0 }
+
+func (h entryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) { *h = append(*h, x.(*entry)) }
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/node/owner/holder.go
@@ -0,0 +1,223 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// Adopt implements plane.Holder.
+func (o *Owner) Adopt(leases []plane.Lease) {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	for _, lease := range leases {
+		o.adopt(now, lease)
+	}
+	o.mu.Unlock()
+	o.requestPush()
+}
+
+func (o *Owner) adopt(now time.Duration, lease plane.Lease) {
+	s, held := o.slices[lease.Slice]
+	if !held || s.isClosed() {
+		o.slices[lease.Slice] = newSlice(lease, o.firstWindow(lease))
+		o.cfg.Logger.Info("slice adopted", "slice", lease.Slice.String(), "service", lease.Service,
+			"fence", lease.Fence.String(), "reason", "granted")
+		return
+	}
+	if lease.Fence.Less(s.lease.Fence) {
+		return
+	}
+	sameFence := lease.Fence == s.lease.Fence
+	if !sameFence && !s.continues(now, lease) {
+		s.until.Store(0)
+		s.close(outcome.ReasonLeaseLapsed)
+		o.slices[lease.Slice] = newSlice(lease, o.firstWindow(lease))
+		return
+	}
+	if !sameFence {
+		s.grant.reset()
+	}
+	s.lease = lease
+	s.until.Store(int64(lease.Until))
+}
+
+// firstWindow returns the window that a new owner starts with. One that cannot be read is
+// replaced by none, which refuses more and runs nothing twice.
+func (o *Owner) firstWindow(lease plane.Lease) *outcome.Window {
+	if lease.Window == nil {
+		return outcome.NewWindow(o.cfg.Window, lease.FirstAt)
+	}
+	window, err := outcome.DecodeWindow(o.cfg.Window, lease.Window)
+	if err != nil {
+		o.cfg.Logger.Error("window of request ids dropped", "slice", lease.Slice.String(), "reason", err.Error())
+		return outcome.NewWindow(o.cfg.Window, lease.FirstAt)
+	}
+	return window
+}
+
+// End implements plane.Holder. Requests that wait end as not run; those at the target ran
+// under a valid lease and their answers are delivered.
+func (o *Owner) End(ids []keyspace.SliceID, reason string) {
+	o.mu.Lock()
+	for _, id := range ids {
+		s, held := o.slices[id]
+		if !held {
+			continue
+		}
+		s.until.Store(0)
+		s.close(outcome.ReasonLeaseLapsed)
+		delete(o.slices, id)
+		o.revoke = append(o.revoke, id)
+		// The lease is gone: nothing may be handed over in its name.
+		s.drained = nil
+		o.cfg.Logger.Info("slice ended", "slice", id.String(), "fence", s.lease.Fence.String(), "reason", reason)
+	}
+	o.mu.Unlock()
+	o.requestPush()
+}
+
+// Drain implements plane.Holder. A slice that is not held is drained at once, without a
+// window.
+func (o *Owner) Drain(id keyspace.SliceID, done func(window []byte)) {
+	o.mu.Lock()
+	s, held := o.slices[id]
+	if !held {
+		o.mu.Unlock()
+		done(nil)
+		return
+	}
+	s.close(outcome.ReasonMoving)
+	s.drained = done
+	o.cfg.Logger.Info("slice drains", "slice", id.String(), "fence", s.lease.Fence.String(),
+		"running", s.busy, "in_doubt", s.pending, "reason", "moving")
+	finish := o.finishDrain(s)
+	o.mu.Unlock()
+	runAll(finish)
+}
+
+// finishDrain gives up a slice that drains and is quiet. It returns what is left to do once
+// the lock is free.
+func (o *Owner) finishDrain(s *slice) []func() {
+	if s.drained == nil || !s.quiet() || o.slices[s.lease.Slice] != s {
+		return nil
+	}
+	done := s.drained
+	s.drained = nil
+	s.until.Store(0)
+	delete(o.slices, s.lease.Slice)
+	o.revoke = append(o.revoke, s.lease.Slice)
+	logger := o.cfg.Logger
+	return []func(){o.requestPush, func() {
+		// The slice is in no table any more, so its window is this function's own.
+		window, err := s.window.Encode()
+		if err != nil {
+			logger.Error("window of request ids not handed over", "slice", s.lease.Slice.String(), "reason", err.Error())
+		}
+		logger.Info("slice drained", "slice", s.lease.Slice.String(), "window_bytes", len(window), "reason", "nothing runs")
+		done(window)
+	}}
+}
+
+// Report implements plane.Holder.
+func (o *Owner) Report() plane.TargetReport {
+	report := o.target.Report()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	report.Utilization = o.use.read(o.elapsed())
+	return report
+}
+
+// SliceLoads implements plane.Holder.
+func (o *Owner) SliceLoads() []plane.SliceLoad {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	loads := make([]plane.SliceLoad, 0, len(o.slices))
+	for id, s := range o.slices {
+		reading := s.meter.Read()
+		if reading.Requests == 0 {
+			continue
+		}
+		load := plane.SliceLoad{
+			Slice:      id,
+			WorkMillis: uint32(reading.Work / uint64(time.Millisecond)),
+			Requests:   reading.Requests,
+			HotKey:     reading.HotKey,
+		}
+		if reading.Work > 0 {
+			load.HotShare = uint32(reading.HotWork * 1000 / reading.Work)
+		}
+		loads = append(loads, load)
+	}
+	slices.SortFunc(loads, func(a, b plane.SliceLoad) int { return int(b.WorkMillis) - int(a.WorkMillis) })
+	return loads
+}
+
+// Unresolved returns the slices with calls that ended in doubt and may still run on the
+// target, whether the slices are still held or not. A slice that was on a target that does not
+// check fences must not be granted anew before it has left this list or the target is gone.
+func (o *Owner) Unresolved() []keyspace.SliceID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := map[keyspace.SliceID]bool{}
+	for call := range o.pending {
+		if call.slice != nil {
+			seen[call.slice.lease.Slice] = true
+		}
+	}
+	list := make([]keyspace.SliceID, 0, len(seen))
+	for id := range seen {
+		list = append(list, id)
+	}
+	return list
+}
+
+func runAll(functions []func()) {
+	for _, f := range functions {
+		f()
+	}
+}
+
+// usage integrates the slots in use over time.
+type usage struct {
+	slots    int
+	running  int
+	changed  time.Duration
+	busyTime time.Duration
+	readAt   time.Duration
+	last     uint32
+}
+
+// minReading is the shortest time over which the share of used slots is measured.
+const minReading = 100 * time.Millisecond
+
+func (u *usage) advance(now time.Duration) {
+	u.busyTime += time.Duration(u.running) * (now - u.changed)
+	u.changed = now
+}
+
+func (u *usage) add(now time.Duration, n int) {
+	u.advance(now)
+	u.running += n
+}
+
+func (u *usage) setSlots(now time.Duration, slots int) {
+	u.advance(now)
+	u.slots = slots
+}
+
+// read returns the share of slots in use since the last reading, in thousandths.
+func (u *usage) read(now time.Duration) uint32 {
+	u.advance(now)
+	span := now - u.readAt
+	if span < minReading || u.slots == 0 {
+		return u.last
+	}
+	u.last = uint32(u.busyTime * 1000 / (span * time.Duration(u.slots)))
+	u.busyTime = 0
+	u.readAt = now
+	return u.last
+}
--- /dev/null
+++ b/node/owner/metrics.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// Metrics counts what happens at the owner. A nil Metrics counts nothing.
+type Metrics struct {
+	ends  *prometheus.CounterVec
+	waits prometheus.Histogram
+}
+
+// NewMetrics returns metrics registered with registerer.
+func NewMetrics(registerer prometheus.Registerer) (*Metrics, error) {
+	m := &Metrics{
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "auburnrelay_owner_requests_total",
+			Help: "Requests that ended at the owner, by outcome and reason.",
+		}, []string{"outcome", "reason"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "auburnrelay_owner_queue_seconds",
+			Help:    "Time that queued requests waited for a slot.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}),
+	}
+	for _, c := range []prometheus.Collector{m.ends, m.waits} {
+		if err := registerer.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (m *Metrics) waited(wait time.Duration) {
+	if m != nil {
+		m.waits.Observe(wait.Seconds())
+	}
+}
+
+func (m *Metrics) ended(end outcome.End) {
+	if m != nil {
+		m.ends.WithLabelValues(end.Outcome.String(), string(end.Reason)).Inc()
+	}
+}
+
+// record counts the end of a request and writes its line.
+func (o *Owner) record(r *run, end outcome.End) {
+	o.cfg.Metrics.ended(end)
+	level := slog.LevelDebug
+	if end.Outcome == outcome.Unknown {
+		level = slog.LevelInfo
+	}
+	ctx := context.Background()
+	if !o.cfg.Logger.Enabled(ctx, level) {
+		return
+	}
+	q := r.request
+	o.cfg.Logger.LogAttrs(ctx, level, "request ended",
+		slog.String("service", q.Service), slog.String("key", q.Key), slog.String("id", q.ID.String()),
+		slog.Uint64("attempt", q.Attempt), slog.String("fence", r.fence.String()),
+		slog.String("outcome", end.Outcome.String()), slog.String("reason", string(end.Reason)))
+}
--- /dev/null
+++ b/node/owner/slot.go
@@ -0,0 +1,137 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/admission"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/target"
+)
+
+// shedRetryAfter is when a shed request may be tried again.
+const shedRetryAfter = time.Second
+
+// awaitSlot asks the queue for a slot and waits for it. It returns the number of the work.
+func (r *run) awaitSlot(ctx context.Context) (uint64, *outcome.End) {
+	id, decision := r.offer()
+	if decision.Verdict == admission.Wait {
+		decision = r.wait(ctx, id)
+	}
+	if decision.Verdict == admission.Start {
+		return id, nil
+	}
+	end := refused(decision.Reason)
+	if end.Reason == outcome.ReasonShed || end.Reason == outcome.ReasonKeyShare {
+		end.RetryAfter = shedRetryAfter
+	}
+	return id, end
+}
+
+func (r *run) offer() (uint64, admission.Decision) {
+	o := r.owner
+	now := o.elapsed()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastID++
+	work := admission.Work{
+		ID:       o.lastID,
+		Class:    workClass(r.request),
+		Key:      keyHash(r.request),
+		Deadline: r.deadline.Sub(o.begin),
+		Alone:    r.suspect,
+	}
+	decision := o.queue.Offer(now, work)
+	switch decision.Verdict {
+	case admission.Start:
+		o.use.add(now, 1)
+	case admission.Wait:
+		r.started = make(chan admission.Decision, 1)
+		o.waiting[work.ID] = r
+		o.setAlarm()
+	}
+	return work.ID, decision
+}
+
+// wait returns what became of queued work. When the caller leaves or the slice closes the work
+// is taken out of the queue, or its slot is given back.
+func (r *run) wait(ctx context.Context, id uint64) admission.Decision {
+	var closed chan struct{}
+	if r.slice != nil {
+		closed = r.slice.closed
+	}
+	select {
+	case decision := <-r.started:
+		return decision
+	case <-ctx.Done():
+		return r.giveUp(id, contextReason(ctx))
+	case <-closed:
+		return r.giveUp(id, r.slice.closeReason)
+	}
+}
+
+func (r *run) giveUp(id uint64, reason outcome.Reason) admission.Decision {
+	o := r.owner
+	now := o.elapsed()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiting, id)
+	if !o.queue.Abandon(id) {
+		if decision := <-r.started; decision.Verdict == admission.Start {
+			o.queue.Finish(now, id, false)
+			o.use.add(now, -1)
+			o.dispatch(now)
+		}
+	}
+	return admission.Decision{ID: id, Verdict: admission.Drop, Reason: reason}
+}
+
+// freeSlot gives the slot back and counts the work into the slice's load.
+func (r *run) freeSlot(id uint64, ending target.Ending) {
+	o := r.owner
+	now := o.elapsed()
+	ran := ending.Outcome == outcome.Answered
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	took := o.queue.Finish(now, id, ran)
+	o.use.add(now, -1)
+	if ending.Reason == outcome.ReasonTargetShed {
+		o.queue.Pushback(now)
+	}
+	if r.slice != nil && ending.Outcome != outcome.NotRun {
+		r.slice.meter.Add(r.request.Key, uint64(took))
+	}
+	o.dispatch(now)
+}
+
+// dispatch hands out free slots and sheds; the caller holds the lock.
+func (o *Owner) dispatch(now time.Duration) {
+	for _, decision := range o.queue.Next(now) {
+		r, waits := o.waiting[decision.ID]
+		if !waits {
+			continue
+		}
+		delete(o.waiting, decision.ID)
+		if decision.Verdict == admission.Start {
+			o.use.add(now, 1)
+		}
+		o.cfg.Metrics.waited(decision.Waited)
+		r.started <- decision
+	}
+	o.setAlarm()
+}
+
+// setAlarm arranges the next look at waiting work; the caller holds the lock.
+func (o *Owner) setAlarm() {
+	if wait, needed := o.queue.NextCheck(); needed {
+		o.alarm.Reset(wait)
+	}
+}
+
+// wake looks at waiting work.
+func (o *Owner) wake() {
+	now := o.elapsed()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.dispatch(now)
+}
--- /dev/null
+++ b/node/target/announce.go
@@ -0,0 +1,122 @@
+package target
+
+import (
+	"net"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// Announcement is what a target says of itself about once a second.
+type Announcement struct {
+	Name         string   `json:"name"`
+	Incarnation  uint64   `json:"incarnation"`
+	Address      string   `json:"address"`
+	Slots        int      `json:"slots"`
+	ChecksFences bool     `json:"checks_fences"`
+	Services     []string `json:"services"`
+}
+
+// AnnouncementReply answers an announcement.
+type AnnouncementReply struct {
+	Node string `json:"node"`
+	// Stop asks the target to drain and end.
+	Stop bool `json:"stop"`
+}
+
+// maxSlots bounds the slots that a target may announce.
+const maxSlots = 1024
+
+// Handler returns the HTTP interface for the target on this VM.
+func (l *Link) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.Use(middleware.BodyLimit("64K"))
+	e.POST("/v1/announce", l.handleAnnounce)
+	return e
+}
+
+func (l *Link) handleAnnounce(c echo.Context) error {
+	var a Announcement
+	if err := c.Bind(&a); err != nil {
+		return err
+	}
+	if problem := l.checkAnnouncement(a); problem != "" {
+		return echo.NewHTTPError(http.StatusBadRequest, problem)
+	}
+	if !l.accept(a) {
+		return echo.NewHTTPError(http.StatusConflict, "incarnation was replaced by a newer one")
+	}
+	return c.JSON(http.StatusOK, AnnouncementReply{Node: l.cfg.Node, Stop: l.stopping.Load()})
+}
+
+func (l *Link) checkAnnouncement(a Announcement) string {
+	host, _, err := net.SplitHostPort(a.Address)
+	switch {
+	case a.Name != l.cfg.Node:
+		return "name is not this VM's"
+	case a.Incarnation == 0:
+		return "incarnation is missing"
+	case err != nil || net.ParseIP(host) == nil:
+		return "address is not an IP address and port"
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return "slots must be 1 to 1024"
+	}
+	return ""
+}
+
+// accept takes an announcement; it reports false for an incarnation that was replaced.
+func (l *Link) accept(a Announcement) bool {
+	accepted := true
+	l.update("announced", func(info *Info) []Event {
+		if a.Incarnation != info.Incarnation && slices.Contains(l.former, a.Incarnation) {
+			accepted = false
+			return nil
+		}
+		var events []Event
+		if a.Incarnation != info.Incarnation {
+			events = l.replace(info, a.Incarnation)
+		}
+		info.Name = a.Name
+		info.Address = a.Address
+		info.Slots = a.Slots
+		info.ChecksFences = a.ChecksFences
+		info.Services = a.Services
+		return events
+	})
+	if accepted {
+		l.probeSoon()
+	}
+	return accepted
+}
+
+// replace begins a new incarnation; the caller holds the lock.
+func (l *Link) replace(info *Info, incarnation uint64) []Event {
+	var events []Event
+	if info.Incarnation != 0 {
+		events = append(events, Event{Kind: EventGone, Incarnation: info.Incarnation})
+		l.retire(info.Incarnation)
+	}
+	*info = Info{Incarnation: incarnation, State: plane.TargetStarting}
+	l.failedProbes = 0
+	return append(events, Event{Kind: EventChanged, Incarnation: incarnation, State: info.State})
+}
+
+func (l *Link) retire(incarnation uint64) {
+	l.former = append(l.former, incarnation)
+	if len(l.former) > formerIncarnations {
+		l.former = l.former[1:]
+	}
+}
+
+// probeSoon asks for a probe without waiting for the next interval.
+func (l *Link) probeSoon() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/node/target/control.go
@@ -0,0 +1,143 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// maxControlBytes bounds the target's answers to probes, grants and cancellations.
+const maxControlBytes = 1 << 20
+
+// ErrNoTarget reports that no target has announced itself.
+var ErrNoTarget = errors.New("no target is linked")
+
+// errGrantStatus reports grants that were answered with an unexpected status.
+var errGrantStatus = errors.New("unexpected status of grants")
+
+// Grant is the right of the target to run work of one slice.
+type Grant struct {
+	Slice     keyspace.SliceID
+	Fence     fence.Fence
+	Remaining time.Duration
+}
+
+type grantJSON struct {
+	Slice       string `json:"slice"`
+	Fence       string `json:"fence"`
+	RemainingMS int64  `json:"remaining_ms"`
+}
+
+type grantsJSON struct {
+	Grants []grantJSON `json:"grants"`
+	Revoke []string    `json:"revoke"`
+}
+
+type refusedJSON struct {
+	Refused []string `json:"refused"`
+}
+
+// PutGrants gives, renews and revokes grants. It returns the slices, as text, whose grants
+// the target refused because it knows a higher fence.
+func (l *Link) PutGrants(ctx context.Context, grants []Grant, revoke []keyspace.SliceID) ([]string, error) {
+	address := l.Info().Address
+	if address == "" {
+		return nil, ErrNoTarget
+	}
+	body, err := json.Marshal(encodeGrants(grants, revoke))
+	if err != nil {
+		return nil, errors.Wrap(err, "encode grants")
+	}
+	var refused refusedJSON
+	err = l.exchange(ctx, http.MethodPut, "http://"+address+"/v1/grants", body, func(resp *http.Response) error {
+		switch resp.StatusCode {
+		case http.StatusOK:
+			return nil
+		case http.StatusConflict:
+			return json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&refused)
+		default:
+			return errors.Wrapf(errGrantStatus, "status %d", resp.StatusCode)
+		}
+	})
+	return refused.Refused, err
+}
+
+func encodeGrants(grants []Grant, revoke []keyspace.SliceID) grantsJSON {
+	out := grantsJSON{Grants: make([]grantJSON, 0, len(grants)), Revoke: make([]string, 0, len(revoke))}
+	for _, g := range grants {
+		remaining := g.Remaining.Milliseconds()
+		out.Grants = append(out.Grants, grantJSON{Slice: g.Slice.String(), Fence: g.Fence.String(), RemainingMS: remaining})
+	}
+	for _, slice := range revoke {
+		out.Revoke = append(out.Revoke, slice.String())
+	}
+	return out
+}
+
+// CallState is what a target says of a call.
+type CallState uint8
+
+const (
+	// CallUnknown means that the target cannot tell, or did not answer.
+	CallUnknown CallState = iota
+	// CallCancelled means that the call did not start and never will.
+	CallCancelled
+	// CallFinished means that the call ran and has ended.
+	CallFinished
+)
+
+// Cancel asks the target to give up a call and returns what became of it.
+func (l *Link) Cancel(ctx context.Context, id string, attempt uint64) CallState {
+	address := l.Info().Address
+	if address == "" {
+		return CallUnknown
+	}
+	return l.cancelAt(ctx, address, id, attempt)
+}
+
+func (l *Link) cancelAt(ctx context.Context, address, id string, attempt uint64) CallState {
+	url := "http://" + address + "/v1/running/" + id + "/" + strconv.FormatUint(attempt, 10)
+	var state struct {
+		State string `json:"state"`
+	}
+	err := l.exchange(ctx, http.MethodDelete, url, nil, func(resp *http.Response) error {
+		return json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&state)
+	})
+	if err != nil {
+		return CallUnknown
+	}
+	switch state.State {
+	case "cancelled":
+		return CallCancelled
+	case "finished":
+		return CallFinished
+	default:
+		return CallUnknown
+	}
+}
+
+// exchange sends one control request and hands the answer to read.
+func (l *Link) exchange(ctx context.Context, method, url string, body []byte, read func(*http.Response) error) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request to the target")
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := l.control.RoundTrip(request)
+	if err != nil {
+		return errors.Wrap(err, "ask the target")
+	}
+	defer response.Body.Close()
+	return read(response)
+}
--- /dev/null
+++ b/node/target/probe.go
@@ -0,0 +1,158 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// Health is a target's answer to a probe.
+type Health struct {
+	Incarnation uint64 `json:"incarnation"`
+	State       string `json:"state"`
+	Running     int    `json:"running"`
+	Queued      int    `json:"queued"`
+}
+
+// errProbeStatus reports a probe that was answered with another status than 200.
+var errProbeStatus = errors.New("unexpected status of a probe")
+
+// Run probes the target until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	ticker := time.NewTicker(l.cfg.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.Close()
+			return nil
+		case <-ticker.C:
+			l.probe(ctx)
+		case <-l.kick:
+			l.probe(ctx)
+		}
+	}
+}
+
+func (l *Link) probe(ctx context.Context) {
+	info := l.Info()
+	if info.Address == "" {
+		return
+	}
+	health, err := l.fetchHealth(ctx, info.Address)
+	if ctx.Err() != nil {
+		return
+	}
+	switch {
+	case err == nil:
+		l.takeHealth(info.Incarnation, health)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		l.takeGone(info.Incarnation, "connection refused")
+	default:
+		l.takeSilence(info.Incarnation)
+	}
+}
+
+func (l *Link) fetchHealth(ctx context.Context, address string) (Health, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.ProbeTimeout)
+	defer cancel()
+	var health Health
+	err := l.exchange(ctx, http.MethodGet, "http://"+address+"/health", nil, func(resp *http.Response) error {
+		if resp.StatusCode != http.StatusOK {
+			return errors.Wrapf(errProbeStatus, "status %d", resp.StatusCode)
+		}
+		return json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(&health)
+	})
+	return health, err
+}
+
+// takeHealth applies a probe of the incarnation that was known when it was sent.
+func (l *Link) takeHealth(probed uint64, health Health) {
+	if health.Incarnation != probed {
+		l.takeGone(probed, "another incarnation answers")
+		return
+	}
+	state, known := parseState(health.State)
+	if !known {
+		l.takeSilence(probed)
+		return
+	}
+	l.update("probe", func(info *Info) []Event {
+		if info.Incarnation != probed {
+			return nil
+		}
+		l.failedProbes = 0
+		if info.State == state {
+			return nil
+		}
+		info.State = state
+		if state != plane.TargetReady {
+			return []Event{{Kind: EventChanged, Incarnation: probed, State: state}}
+		}
+		info.ReadySince = l.cfg.Clock()
+		return []Event{{Kind: EventReady, Incarnation: probed, State: state}}
+	})
+}
+
+// takeGone records that the process of an incarnation has ended.
+func (l *Link) takeGone(incarnation uint64, reason string) {
+	l.update(reason, func(info *Info) []Event {
+		if info.Incarnation != incarnation || incarnation == 0 {
+			return nil
+		}
+		l.retire(incarnation)
+		l.failedProbes = 0
+		*info = Info{Name: info.Name}
+		return []Event{{Kind: EventGone, Incarnation: incarnation}}
+	})
+}
+
+// takeSilence counts a probe that was not answered.
+func (l *Link) takeSilence(incarnation uint64) {
+	l.update("probes fail", func(info *Info) []Event {
+		if info.Incarnation != incarnation {
+			return nil
+		}
+		l.failedProbes++
+		if l.failedProbes < l.cfg.SuspectAfter || info.State == plane.TargetSuspect {
+			return nil
+		}
+		info.State = plane.TargetSuspect
+		return []Event{{Kind: EventChanged, Incarnation: incarnation, State: info.State}}
+	})
+}
+
+func parseState(text string) (plane.TargetState, bool) {
+	switch text {
+	case "starting":
+		return plane.TargetStarting, true
+	case "ready":
+		return plane.TargetReady, true
+	case "draining":
+		return plane.TargetDraining, true
+	default:
+		return plane.TargetAbsent, false
+	}
+}
+
+func stateName(state plane.TargetState) string {
+	switch state {
+	case plane.TargetStarting:
+		return "starting"
+	case plane.TargetReady:
+		return "ready"
+	case plane.TargetDraining:
+		return "draining"
+	case plane.TargetSuspect:
+		return "suspect"
+	default:
+		return "absent"
+	}
+}
