--- /dev/null
+++ b/standin/store/store_test.go
@@ -0,0 +1,145 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/contract"
+	"github.com/auburnrelay/auburnrelay/platform/httpstore"
+	"github.com/auburnrelay/auburnrelay/platform/memstore"
+)
+
+const unlimited = 1e6
+
+// open serves a store and returns its address.
+func open(t *testing.T, options Options) string {
+	t.Helper()
+	server := httptest.NewServer(New(options))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+func TestContract(t *testing.T) {
+	contract.Run(t, func(t *testing.T) contract.Harness {
+		url := open(t, Options{
+			ReadsPerSecond:  unlimited,
+			WritesPerSecond: unlimited,
+			Memory:          memstore.Options{History: contract.History},
+		})
+		return contract.Harness{
+			Store:     httpstore.New(url, httpstore.Options{PollWait: contract.PollWait}),
+			SetFaults: func(f memstore.Faults) { postFaults(t, url, f) },
+		}
+	})
+}
+
+func postFaults(t *testing.T, url string, f memstore.Faults) {
+	t.Helper()
+	body, err := json.Marshal(FaultsMessage{
+		Down:          f.Down,
+		DelayMS:       f.Delay.Milliseconds(),
+		LoseShare:     f.LoseShare,
+		LoseNext:      f.LoseNext,
+		DelayWritesMS: f.DelayWrites.Milliseconds(),
+		WatchBroken:   f.WatchBroken,
+		StaleWatch:    f.StaleWatch,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post(url+"/admin/faults", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		t.Fatalf("set faults: status %d", response.StatusCode)
+	}
+}
+
+func TestRatesAreLimited(t *testing.T) {
+	const perSecond = 40
+	burst := int(perSecond * burstSeconds)
+	url := open(t, Options{ReadsPerSecond: perSecond, WritesPerSecond: perSecond})
+	s := httpstore.New(url, httpstore.Options{PollWait: time.Millisecond})
+	ctx := context.Background()
+	calls := map[string]func() error{
+		"read": func() error {
+			_, err := s.Get(ctx, "a")
+			return err
+		},
+		"write": func() error {
+			_, err := s.Put(ctx, "b", nil, 7, "w")
+			return err
+		},
+	}
+	for name, call := range calls {
+		taken := 0
+		began := time.Now()
+		for range 2 * burst {
+			if !errors.Is(call(), platform.ErrUnavailable) {
+				taken++
+			}
+		}
+		most := burst + 1 + int(perSecond*time.Since(began).Seconds())
+		if taken < burst || taken > most {
+			t.Errorf("%s: %d calls taken, want %d to %d", name, taken, burst, most)
+		}
+	}
+}
+
+func TestWaitingPollCountsOnce(t *testing.T) {
+	url := open(t, Options{})
+	s := httpstore.New(url, httpstore.Options{PollWait: 50 * time.Millisecond})
+	if _, err := s.Poll(context.Background(), "a", 0); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Get(url + "/admin/stats")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var stats StatsMessage
+	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil || stats != (StatsMessage{Polls: 1}) {
+		t.Errorf("stats %+v, %v", stats, err)
+	}
+}
+
+func TestMalformedCalls(t *testing.T) {
+	url := open(t, Options{})
+	rows := []struct {
+		name, method, path, expected string
+		want                         int
+	}{
+		{"write without expected version", "PUT", "/v1/objects/a", "", http.StatusBadRequest},
+		{"negative expected version", "PUT", "/v1/objects/a", "-1", http.StatusBadRequest},
+		{"write without key", "PUT", "/v1/objects/", "0", http.StatusBadRequest},
+		{"delete without expected version", "DELETE", "/v1/objects/a", "", http.StatusBadRequest},
+		{"watch without version", "GET", "/v1/watch?prefix=a&wait_ms=1", "", http.StatusBadRequest},
+		{"unknown path", "GET", "/v2/objects/a", "", http.StatusNotFound},
+		{"unknown method", "PATCH", "/v1/objects/a", "", http.StatusMethodNotAllowed},
+	}
+	for _, row := range rows {
+		request, err := http.NewRequest(row.method, url+row.path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(httpstore.HeaderExpected, row.expected)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != row.want {
+			t.Errorf("%s: status %d, want %d", row.name, response.StatusCode, row.want)
+		}
+	}
+}
