Replace a standby that leaves; test a cell of real nodes

A leaving standby kept its part, because it still promised; the leave of the second of three nodes did not end (TestLeaveHandsOver went red first).

--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -263,6 +263,8 @@
 		m.nameStandby(best, "the cell has no standby")
 	case !current.IsZero() && (left < m.timing.Promise/2 || m.standbyReplaced()):
 		m.nameStandby(best, "the standby does not promise")
+	case m.standbyLeaving():
+		m.nameStandby(best, "the standby leaves")
 	case current.IsZero() && left < m.timing.Promise*2/3:
 		m.put(writeRenew, m.version, m.rec.Clone(), nil)
 	}
@@ -274,6 +276,11 @@
 	return n != nil && n.Node != m.rec.Standby
 }
 
+func (m *Machine) standbyLeaving() bool {
+	n := m.ctl.members[m.rec.Standby.Name]
+	return n != nil && n.leaving
+}
+
 // bestStandby returns a live node other than the present standby, in another failure domain
 // if there is one; nobody when no other node is live.
 func (m *Machine) bestStandby() Node {
--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -292,7 +292,7 @@
 func (m *Machine) takeDrains(drain []keyspace.SliceID) {
 	for _, id := range drain {
 		g, ok := m.holder.set[id]
-		if _, busy := m.holder.draining[id]; !ok || busy {
+		if _, busy := m.holder.draining[id]; !ok || busy || !m.mayAdopt(g) {
 			continue
 		}
 		m.holder.draining[id] = g.Fence
--- /dev/null
+++ b/node/control/control_test.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/node/bootclock"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/memstore"
+)
+
+// fakeHolder stands for the request side: it notes leases and drains at once.
+type fakeHolder struct {
+	mu     sync.Mutex
+	leases map[keyspace.SliceID]plane.Lease
+	target plane.TargetReport
+}
+
+func (h *fakeHolder) Adopt(leases []plane.Lease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range leases {
+		h.leases[l.Slice] = l
+	}
+}
+
+func (h *fakeHolder) End(slices []keyspace.SliceID, _ string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range slices {
+		delete(h.leases, id)
+	}
+}
+
+func (h *fakeHolder) Drain(slice keyspace.SliceID, done func([]byte)) {
+	h.mu.Lock()
+	delete(h.leases, slice)
+	h.mu.Unlock()
+	done([]byte("window of " + slice.String()))
+}
+
+func (h *fakeHolder) Report() plane.TargetReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.target
+}
+
+func (h *fakeHolder) SliceLoads() []plane.SliceLoad { return nil }
+
+// live returns the slices under a lease that has not lapsed.
+func (h *fakeHolder) live() map[keyspace.SliceID]plane.Lease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := bootclock.Now()
+	out := make(map[keyspace.SliceID]plane.Lease)
+	for id, l := range h.leases {
+		if l.Until > now {
+			out[id] = l
+		}
+	}
+	return out
+}
+
+// testNode is one node with a real gRPC listener on the loopback.
+type testNode struct {
+	control *Control
+	holder  *fakeHolder
+	cancel  context.CancelFunc
+	done    chan struct{}
+	server  *grpc.Server
+}
+
+// kill ends the node without notice; its address then refuses connections.
+func (n *testNode) kill() {
+	n.server.Stop()
+	n.cancel()
+	<-n.done
+}
+
+func startNode(t *testing.T, store platform.Store, name, domain, cellName string) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &fakeHolder{
+		leases: make(map[keyspace.SliceID]plane.Lease),
+		target: plane.TargetReport{State: plane.TargetReady, Incarnation: 1, Slots: 6, ChecksFences: true},
+	}
+	level := slog.LevelError
+	if os.Getenv("AUBURNRELAY_TEST_LOG") != "" {
+		level = slog.LevelInfo
+	}
+	self := plane.Peer{
+		Name: name, Incarnation: uint64(time.Now().UnixNano()), Address: listener.Addr().String(),
+		EntryAddress: "127.0.0.1:1", Region: "alfold", FailureDomain: domain, Cell: cellName,
+	}
+	c, err := New(Config{
+		Self: self, Cluster: "test", Cell: cellName,
+		Logger: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})),
+	}, store, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &testNode{control: c, holder: h, done: make(chan struct{}), server: grpc.NewServer()}
+	c.Register(n.server)
+	go func() { _ = n.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = c.Run(ctx)
+	}()
+	t.Cleanup(n.kill)
+	return n
+}
+
+const testSlices = 32
+
+func putSheet(t *testing.T, store platform.Store, expected platform.Version, cellName string) platform.Version {
+	t.Helper()
+	r := keyspace.Range{Service: "booking", Kind: keyspace.Keyed, Region: "alfold", Cell: cellName, Slices: testSlices, Line: 2}
+	s := storedSheet{Layout: keyspace.Layout{Services: []keyspace.Service{{Name: "booking", Kind: keyspace.Keyed, Ranges: []keyspace.Range{r}}}}}
+	value, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	version, err := store.Put(context.Background(), sheetKey, value, expected, fmt.Sprintf("sheet-%d", expected))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+// waitFor polls until the condition holds or the time is over.
+func waitFor(t *testing.T, what string, limit time.Duration, cond func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for time.Since(start) < limit {
+		if cond() {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within %v", what, limit)
+	return 0
+}
+
+// served counts the slices with exactly one live holder; it fails on two.
+func served(t *testing.T, nodes []*testNode) int {
+	t.Helper()
+	holders := make(map[keyspace.SliceID]string)
+	for _, n := range nodes {
+		for id := range n.holder.live() {
+			if other, twice := holders[id]; twice {
+				t.Errorf("slice %s is held by %s and %s", id, other, n.control.Self().Name)
+			}
+			holders[id] = n.control.Self().Name
+		}
+	}
+	return len(holders)
+}
+
+func startCell(t *testing.T, store platform.Store) []*testNode {
+	t.Helper()
+	nodes := []*testNode{
+		startNode(t, store, "vm-a", "debrecen", "alfold"),
+		startNode(t, store, "vm-b", "szeged", "alfold"),
+		startNode(t, store, "vm-c", "debrecen", "alfold"),
+	}
+	waitFor(t, "all slices served by three nodes", 10*time.Second, func() bool {
+		for _, n := range nodes {
+			if len(n.holder.live()) < testSlices/3 {
+				return false
+			}
+		}
+		return served(t, nodes) == testSlices
+	})
+	return nodes
+}
+
+func TestCellServesAndRecovers(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	for _, role := range []string{"plain", "controller"} {
+		i := pick(nodes, role)
+		victim := nodes[i]
+		nodes = append(nodes[:i], nodes[i+1:]...)
+		victim.kill()
+		took := waitFor(t, "served again after losing the "+role, 3*time.Second, func() bool {
+			return served(t, nodes) == testSlices
+		})
+		t.Logf("served again %v after the loss of the %s", took, role)
+	}
+}
+
+// pick returns the index of the controller, or of a node with no part in control.
+func pick(nodes []*testNode, role string) int {
+	status := nodes[0].control.Status()
+	for i, n := range nodes {
+		name := n.control.Self().Name
+		isController := name == status.Controller
+		if role == "controller" && isController {
+			return i
+		}
+		if role == "plain" && !isController && name != standbyOf(nodes) {
+			return i
+		}
+	}
+	return 0
+}
+
+func standbyOf(nodes []*testNode) string {
+	for _, n := range nodes {
+		if s := n.control.Status(); s.IsController {
+			return s.Standby
+		}
+	}
+	return ""
+}
+
+func TestLeaveHandsOver(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	for len(nodes) > 1 {
+		i := pick(nodes, "controller")
+		leaving := nodes[i]
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		if err := leaving.control.Leave(ctx); err != nil {
+			t.Fatalf("leave of %s: %v", leaving.control.Self().Name, err)
+		}
+		cancel()
+		nodes = append(nodes[:i], nodes[i+1:]...)
+		waitFor(t, "all slices with the nodes that stay", time.Second, func() bool { return served(t, nodes) == testSlices })
+		leaving.kill()
+	}
+}
+
+func TestLocateOfOwnCell(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	for _, n := range nodes {
+		waitFor(t, "routes", 2*time.Second, func() bool {
+			r, err := n.control.Locate("booking", "bay-7")
+			return err == nil && r.Owner.Name != "" && r.Owner.Address != ""
+		})
+	}
+	first, _ := nodes[0].control.Locate("booking", "bay-7")
+	second, _ := nodes[2].control.Locate("booking", "bay-7")
+	if first.Owner.Name != second.Owner.Name {
+		t.Errorf("nodes disagree on the owner: %s, %s", first.Owner.Name, second.Owner.Name)
+	}
+	_ = cell.TickInterval
+}
