--- a/client/client.go
+++ b/client/client.go
@@ -27,6 +27,7 @@
 	defaultOwners   = 4096
 	defaultDeadline = 30 * time.Second
 	headerRequestID = "Auburnrelay-Request-Id"
+	headerSend      = "Auburnrelay-Send"
 	headerDeadline  = "Auburnrelay-Deadline-Ms"
 	headerOutcome   = "Auburnrelay-Outcome"
 	headerReason    = "Auburnrelay-Reason"
@@ -48,7 +49,8 @@
 
 // Request is one request to a service.
 type Request struct {
-	// ID identifies the request over resends; the zero id lets Do mint one.
+	// ID identifies the request over resends; the zero id lets Do mint one. A request with an
+	// id counts as sent before.
 	ID      ulid.ULID
 	Method  string
 	Service string
@@ -58,6 +60,8 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// first tells that the id was minted for this send.
+	first bool
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -101,6 +105,7 @@
 	}
 	if r.ID == (ulid.ULID{}) {
 		r.ID = ulid.Make()
+		r.first = true
 	}
 	ctx, cancel := c.withDeadline(ctx)
 	id := owned{service: r.Service, key: r.Key}
@@ -166,6 +171,9 @@
 		request.Header[name] = values
 	}
 	request.Header.Set(headerRequestID, r.ID.String())
+	if r.first {
+		request.Header.Set(headerSend, "1")
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		request.Header.Set(headerDeadline, strconv.FormatInt(left, 10))
--- a/core/outcome/window.go
+++ b/core/outcome/window.go
@@ -117,11 +117,21 @@
 
 // Begin decides on an id at wall time now. Only after Run may the request be sent on.
 func (w *Window) Begin(id ulid.ULID, now time.Time) Decision {
+	return w.begin(id, now, false)
+}
+
+// BeginFirst decides like Begin on an id that its caller sends for the first time. Such an id
+// cannot have run before, however old it is, so the window's floor does not hold for it.
+func (w *Window) BeginFirst(id ulid.ULID, now time.Time) Decision {
+	return w.begin(id, now, true)
+}
+
+func (w *Window) begin(id ulid.ULID, now time.Time, first bool) Decision {
 	w.expire(now)
 	if e, known := w.entries[id]; known {
 		return e.decision()
 	}
-	if id.Time() < w.floor {
+	if id.Time() < w.floor && !first {
 		return Decision{Verdict: RefuseUnknown}
 	}
 	ahead := time.Duration(int64(id.Time())-now.UnixMilli()) * time.Millisecond
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -69,13 +69,21 @@
 	if wait >= left {
 		return Verdict{Reason: outcome.ReasonDeadline}
 	}
-	if b.tokens < 1 {
+	if !b.Spend() {
 		return Verdict{Reason: outcome.ReasonRetryBudget}
 	}
-	b.tokens--
 	return Verdict{Retry: true, Wait: wait}
 }
 
+// Spend takes one retry from the budget and reports whether it was there.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 func (b *Budget) wait(end outcome.End, tries int, jitter float64) time.Duration {
 	wait := b.policy.FirstWait << min(tries-1, 16)
 	wait = min(wait, b.policy.MaxWait)
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/forward"
@@ -103,6 +105,9 @@
 	for {
 		changed := d.router.Changed()
 		route, err := d.router.Locate(r.Service, r.Key)
+		if errors.Is(err, plane.ErrNotReady) && t.hold("", notReady, changed) {
+			continue
+		}
 		if err != nil {
 			return plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoOwner}, err
 		}
@@ -116,6 +121,9 @@
 	}
 }
 
+// notReady ends a request while the node knows no sheet.
+var notReady = plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoOwner}
+
 // trial is the state of one request's tries.
 type trial struct {
 	d         *Dispatcher
--- a/node/entry/http.go
+++ b/node/entry/http.go
@@ -66,6 +66,8 @@
 		return http.StatusNotFound
 	case errors.IsAny(err, ErrBodyTooLarge, ErrKeyTooLong):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, plane.ErrNotReady):
+		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadRequest
 	}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -19,6 +19,7 @@
 const (
 	HeaderRequestID = "Auburnrelay-Request-Id"
 	HeaderDeadline  = "Auburnrelay-Deadline-Ms"
+	HeaderSend      = "Auburnrelay-Send"
 	HeaderOutcome   = "Auburnrelay-Outcome"
 	HeaderReason    = "Auburnrelay-Reason"
 	HeaderOwner     = "Auburnrelay-Owner"
@@ -37,6 +38,8 @@
 	ErrBadRequestID = errors.New("request id is not a ULID")
 	// ErrBadDeadline reports a deadline that is not a positive number of milliseconds.
 	ErrBadDeadline = errors.New("deadline is not a positive number of milliseconds")
+	// ErrBadSend reports a send count that is not a number from one.
+	ErrBadSend = errors.New("send count is not a number from one")
 	// ErrKeyTooLong reports a key above the limit.
 	ErrKeyTooLong = errors.New("key too long")
 	// ErrBodyTooLarge reports a body above the limit.
@@ -69,6 +72,9 @@
 	if err := readDeadline(r, h.Header.Get(HeaderDeadline), limits, now); err != nil {
 		return nil, err
 	}
+	if err := readSend(r, h.Header.Get(HeaderSend)); err != nil {
+		return nil, err
+	}
 	r.Headers = passedHeaders(h.Header)
 	return r, readBody(r, h, limits)
 }
@@ -124,6 +130,20 @@
 	return nil
 }
 
+// readSend reads how often the caller has sent this id; without the field it may have been
+// sent before.
+func readSend(r *plane.Request, text string) error {
+	if text == "" {
+		return nil
+	}
+	count, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || count == 0 {
+		return errors.Wrapf(ErrBadSend, "%s %q", HeaderSend, text)
+	}
+	r.FirstSend = count == 1
+	return nil
+}
+
 func readBody(r *plane.Request, h *http.Request, limits Limits) error {
 	if h.ContentLength > limits.BodyBytes {
 		return errors.Wrapf(ErrBodyTooLarge, "%d bytes, at most %d", h.ContentLength, limits.BodyBytes)
--- a/node/forward/convert.go
+++ b/node/forward/convert.go
@@ -72,6 +72,7 @@
 		NonIdempotent: r.NonIdempotent,
 		BodyLength:    int64(len(r.Body)),
 		CrossRegion:   r.CrossRegion,
+		FirstSend:     r.FirstSend,
 	}
 }
 
@@ -88,6 +89,7 @@
 		Deadline:      received.Add(time.Duration(h.GetRemainingUs()) * time.Microsecond),
 		NonIdempotent: h.GetNonIdempotent(),
 		CrossRegion:   h.GetCrossRegion(),
+		FirstSend:     h.GetFirstSend(),
 	}
 	if h.GetRequestId() == "" {
 		return r, nil
--- a/node/owner/serve.go
+++ b/node/owner/serve.go
@@ -188,7 +188,11 @@
 	r.owner.mu.Lock()
 	defer r.owner.mu.Unlock()
 	id := r.request.ID
-	decision := r.slice.window.Begin(id, time.Now())
+	begin := r.slice.window.Begin
+	if r.request.FirstSend {
+		begin = r.slice.window.BeginFirst
+	}
+	decision := begin(id, time.Now())
 	if decision.Verdict == outcome.Run {
 		r.slice.ends[id] = make(chan struct{})
 	}
--- a/node/plane/request.go
+++ b/node/plane/request.go
@@ -35,6 +35,9 @@
 	Deadline time.Time
 	// NonIdempotent tells that the request must run at most once.
 	NonIdempotent bool
+	// FirstSend tells that the caller sends this id for the first time, so that it cannot have
+	// run before.
+	FirstSend bool
 	// CrossRegion tells that the entry node stands in another region.
 	CrossRegion bool
 	Range       keyspace.Range
--- a/standin/demo/caller.go
+++ b/standin/demo/caller.go
@@ -45,6 +45,7 @@
 		return served{}, errors.Wrap(err, "request")
 	}
 	request.Header.Set("Auburnrelay-Request-Id", ulid.Make().String())
+	request.Header.Set("Auburnrelay-Send", "1")
 	request.Header.Set("Auburnrelay-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	began := time.Now()
 	resp, err := c.http.Do(request)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -242,6 +243,38 @@
 	return string(out), errors.Wrapf(err, "auburnrelay %v: %s", args, out)
 }
 
+// InForce waits until every running node has the same sheet version and returns how long
+// that took. It fails with ErrNotReady after the limit.
+func (f *Fleet) InForce(version int64, limit time.Duration) (time.Duration, error) {
+	began := time.Now()
+	err := Await(limit, func() bool {
+		for _, vm := range f.VMs {
+			if f.Nodes[vm.Name].Running() && f.sheetVersion(vm.Name) < version {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(began), errors.Wrapf(err, "sheet version %d", version)
+}
+
+// sheetVersion asks a node for the version of its sheet; zero means no answer.
+func (f *Fleet) sheetVersion(name string) int64 {
+	client := http.Client{Timeout: probeTimeout}
+	resp, err := client.Get(f.AdminURL(name) + "/status")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var status struct {
+		SheetVersion int64 `json:"sheet_version"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&status) != nil {
+		return 0
+	}
+	return status.SheetVersion
+}
+
 // KillVM ends the VM's node and target at once.
 func (f *Fleet) KillVM(name string) {
 	f.Nodes[name].Kill()
--- a/standin/probe/probe.go
+++ b/standin/probe/probe.go
@@ -100,6 +100,7 @@
 		panic(err) // entries and keys come from the program itself
 	}
 	request.Header.Set("Auburnrelay-Request-Id", ulid.Make().String())
+	request.Header.Set("Auburnrelay-Send", "1")
 	request.Header.Set("Auburnrelay-Deadline-Ms", strconv.FormatInt(p.config.Deadline.Milliseconds(), 10))
 	resp, err := p.http.Do(request)
 	if err != nil {
