Prove the machine by a seeded walk over several machines and a store

The walk showed: fences fell when a range changed cells (now a fence epoch above the other cells'); slices of a range that the sheet takes away were assigned again; a lease outlived a replaced target that checks no fences.

--- a/core/cell/draft.go
+++ b/core/cell/draft.go
@@ -56,7 +56,7 @@
 	changed := false
 	for _, id := range sortedSlices(c.freed) {
 		a := r.assignment(id)
-		if a == nil || !lower(fenceOf(c.epoch, c.routes.slices[id].seq), c.freed[id].fence) {
+		if a == nil || m.unwanted(id.Range) || !lower(m.rec.fence(c.routes.slices[id].seq), c.freed[id].fence) {
 			continue
 		}
 		if _, active := c.active[id]; active {
@@ -132,7 +132,7 @@
 func (m *Machine) draftLost(r *Record, touched map[keyspace.SliceID]bool) bool {
 	reasons := make(map[keyspace.SliceID]string)
 	r.each(func(id keyspace.SliceID, _ *RangeRecord, a *Assignment) {
-		if _, active := m.ctl.active[id]; active || touched[id] {
+		if _, active := m.ctl.active[id]; active || touched[id] || m.unwanted(id.Range) {
 			return
 		}
 		rt, known := m.ctl.routes.slices[id]
--- a/core/cell/grants.go
+++ b/core/cell/grants.go
@@ -207,7 +207,7 @@
 // grantable reports whether the owner may be granted the slice now, and its fence.
 func (m *Machine) grantable(id keyspace.SliceID, n *memberState) (fence.Fence, bool) {
 	c := m.ctl
-	f := fenceOf(c.epoch, c.routes.slices[id].seq)
+	f := m.rec.fence(c.routes.slices[id].seq)
 	if c.quiet && !m.guards.grantUnreported {
 		if _, held := n.reported[id]; !held {
 			return f, false
--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -15,6 +15,13 @@
 	draining bool
 }
 
+// sentBeat is what a heartbeat said: leases in its answer count from its time and are good
+// for the target process that it named.
+type sentBeat struct {
+	at     time.Duration
+	target uint64
+}
+
 // holder is the node's part as an owner.
 type holder struct {
 	held map[keyspace.SliceID]*holding
@@ -22,8 +29,8 @@
 	set    map[keyspace.SliceID]Grant
 	setID  uint64
 	number uint64
-	// sent has the sending times of heartbeats not yet answered.
-	sent map[uint64]time.Duration
+	// sent has the heartbeats that are not yet answered.
+	sent map[uint64]sentBeat
 	// applied is the highest heartbeat whose answer was taken.
 	applied uint64
 	beatAt  time.Duration
@@ -40,7 +47,7 @@
 func (h *holder) init() {
 	h.held = make(map[keyspace.SliceID]*holding)
 	h.set = make(map[keyspace.SliceID]Grant)
-	h.sent = make(map[uint64]time.Duration)
+	h.sent = make(map[uint64]sentBeat)
 	h.released = make(map[keyspace.SliceID]Release)
 	h.refused = make(map[keyspace.SliceID]fence.Fence)
 	h.draining = make(map[keyspace.SliceID]fence.Fence)
@@ -93,15 +100,15 @@
 	h.beatSoon = false
 	h.beatAt = m.now
 	h.number++
-	h.sent[h.number] = m.now
+	h.sent[h.number] = sentBeat{at: m.now, target: m.target.Incarnation}
 	h.forgetOld(m.now - 2*m.timing.Lease)
 	m.emit(SendHeartbeat{To: m.leader, Heartbeat: m.heartbeat()})
 	m.loads = nil
 }
 
 func (h *holder) forgetOld(before time.Duration) {
-	for number, at := range h.sent {
-		if at < before {
+	for number, beat := range h.sent {
+		if beat.at < before {
 			delete(h.sent, number)
 		}
 	}
@@ -220,7 +227,7 @@
 	}
 }
 
-func (m *Machine) takeGrants(a Answer, sent time.Duration) {
+func (m *Machine) takeGrants(a Answer, beat sentBeat) {
 	h := &m.holder
 	if a.Full {
 		h.set = make(map[keyspace.SliceID]Grant, len(a.Grants))
@@ -232,6 +239,10 @@
 	if a.Set != h.setID || !m.tableAtLeast(a.Needs) {
 		return
 	}
+	if beat.target != m.target.Incarnation && !m.target.ChecksFences && !m.guards.anyTarget {
+		return
+	}
+	sent := beat.at
 	if m.guards.noDateByRequest {
 		sent = m.now
 	}
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -89,6 +89,7 @@
 	startUnread       bool
 	anyFence          bool
 	noGonePromise     bool
+	anyTarget         bool
 }
 
 // New returns the machine of a node that has just started.
@@ -228,7 +229,7 @@
 	if m.write != nil || m.leaving {
 		return
 	}
-	r := &Record{Cell: m.cfg.Cell, Region: m.cfg.Self.Region, Epoch: 1, Controller: m.self, Naming: 1}
+	r := &Record{Cell: m.cfg.Cell, Region: m.cfg.Self.Region, Epoch: 1, FenceEpoch: 1, Controller: m.self, Naming: 1}
 	r.putNode(m.selfMember())
 	m.decide("create cell", keyspace.SliceID{}, m.self.Name, "the cell has no record")
 	m.put(writeNaming, 0, r, nil)
@@ -287,7 +288,11 @@
 	if m.target.State != e.Target.State || m.target.Incarnation != e.Target.Incarnation {
 		m.holder.beatSoon = true
 	}
+	replaced := e.Target.Incarnation != m.target.Incarnation && !e.Target.ChecksFences
 	m.target = e.Target
+	if replaced && !m.guards.anyTarget {
+		m.endAll("the target's process was replaced")
+	}
 	m.loads = append(m.loads, e.Loads...)
 }
 
@@ -300,7 +305,7 @@
 
 // clockJumped ends everything that was measured by a clock that cannot be trusted.
 func (m *Machine) clockJumped() {
-	m.holder.sent = make(map[uint64]time.Duration)
+	m.holder.sent = make(map[uint64]sentBeat)
 	m.endAll("the clocks disagree")
 	if m.ctl != nil {
 		m.ctl.authority = m.now
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -25,6 +25,8 @@
 	dirty bool
 	// adopting tells that the sheet gives ranges to the cell that it has not taken yet.
 	adopting bool
+	// unwanted has the ranges that the sheet takes away and that are still held.
+	unwanted map[keyspace.RangeID]bool
 	at       time.Duration
 	joinedAt time.Duration
 	loads    loads
--- a/core/cell/record.go
+++ b/core/cell/record.go
@@ -34,9 +34,12 @@
 
 // Record is the durable state of a cell.
 type Record struct {
-	Cell       string `json:"cell"`
-	Region     string `json:"region"`
-	Epoch      uint64 `json:"epoch"`
+	Cell   string `json:"cell"`
+	Region string `json:"region"`
+	Epoch  uint64 `json:"epoch"`
+	// FenceEpoch is the epoch of the cell's fences. It grows with Epoch, and above that of
+	// the other cells when the cell takes a range from them.
+	FenceEpoch uint64 `json:"fence_epoch"`
 	Controller Node   `json:"controller"`
 	Standby    Node   `json:"standby"`
 	// Naming grows with each write that changes the standby or the controller.
@@ -124,8 +127,8 @@
 // epochShift leaves room for the assignments of one epoch below the next epoch's numbers.
 const epochShift = 32
 
-// fenceOf returns the fence of an assignment while the epoch lasts.
-func fenceOf(epoch, seq uint64) fence.Fence { return fence.Fence{Epoch: epoch, Seq: seq} }
+// fence returns the fence of an assignment as long as the record's fence epoch lasts.
+func (r *Record) fence(seq uint64) fence.Fence { return fence.Fence{Epoch: r.FenceEpoch, Seq: seq} }
 
 // putNode sets a node's entry, keeping the entries ordered by name.
 func (r *Record) putNode(m Member) {
@@ -144,7 +147,7 @@
 
 // Summary returns what other cells need to know of the record's cell.
 func (r *Record) Summary() OtherCell {
-	o := OtherCell{Cell: r.Cell, Region: r.Region, SheetVersion: r.SheetVersion}
+	o := OtherCell{Cell: r.Cell, Region: r.Region, SheetVersion: r.SheetVersion, FenceEpoch: r.FenceEpoch}
 	for _, name := range []string{r.Controller.Name, r.Standby.Name} {
 		if n, ok := r.Node(name); ok && name != "" {
 			o.Contacts = append(o.Contacts, n)
--- a/core/cell/routes.go
+++ b/core/cell/routes.go
@@ -83,7 +83,7 @@
 			r.moving = true
 		}
 	}
-	if f, ok := c.freed[id]; ok && f.fence.Less(fenceOf(c.epoch, r.seq)) {
+	if f, ok := c.freed[id]; ok && f.fence.Less(m.rec.fence(r.seq)) {
 		delete(c.freed, id)
 	}
 	return r
--- a/core/cell/sheet.go
+++ b/core/cell/sheet.go
@@ -65,6 +65,9 @@
 	return wanted
 }
 
+// unwanted reports whether the sheet takes the range away from the cell.
+func (m *Machine) unwanted(id keyspace.RangeID) bool { return m.ctl.plans.unwanted[id] }
+
 // draftSheet brings the record's ranges in line with the sheet, in steps: give up what the
 // sheet takes away, note the sheet's version, then take what no other cell can hold.
 func (m *Machine) draftSheet(r *Record) bool {
@@ -92,6 +95,7 @@
 // record changed and whether an unwanted range is still held.
 func (m *Machine) dropRanges(r *Record, wanted map[keyspace.RangeID]keyspace.Range) (changed, kept bool) {
 	var keep []RangeRecord
+	m.ctl.plans.unwanted = make(map[keyspace.RangeID]bool)
 	for i := range r.Ranges {
 		rr := r.Ranges[i]
 		id := rr.Range.ID()
@@ -108,6 +112,7 @@
 			m.decide("drop range", keyspace.SliceID{Range: id}, m.self.Name, "the sheet gives it to others")
 		default:
 			kept = true
+			m.ctl.plans.unwanted[id] = true
 			keep = append(keep, rr)
 		}
 	}
@@ -134,7 +139,7 @@
 func (m *Machine) sliceFree(id keyspace.SliceID) bool {
 	c := m.ctl
 	r := c.routes.slices[id]
-	if f, ok := c.freed[id]; ok && lower(fenceOf(c.epoch, r.seq), f.fence) {
+	if f, ok := c.freed[id]; ok && lower(m.rec.fence(r.seq), f.fence) {
 		return true
 	}
 	if r.owner == "" {
@@ -163,6 +168,7 @@
 			if _, ok := wanted[rg.ID()]; !ok || !m.othersAgree(rg) {
 				continue
 			}
+			r.FenceEpoch = m.fenceEpochAbove(r.FenceEpoch)
 			r.Ranges = append(r.Ranges, RangeRecord{Range: rg, Slices: make([]Assignment, rg.Slices)})
 			m.decide("take range", keyspace.SliceID{Range: rg.ID()}, m.self.Name, "no other cell can hold it")
 			changed = true
@@ -171,6 +177,15 @@
 	return changed
 }
 
+// fenceEpochAbove returns a fence epoch that is not below the present one and above all
+// that other cells have used, so that the fences of a range grow when it changes cells.
+func (m *Machine) fenceEpochAbove(present uint64) uint64 {
+	for _, c := range m.ctl.others.cells {
+		present = max(present, c.FenceEpoch+1)
+	}
+	return present
+}
+
 // othersAgree reports whether no other cell holds or may take the range: their records
 // were read after this cell's own followed the sheet, follow the same one, and do not
 // overlap the range.
--- a/core/cell/standby.go
+++ b/core/cell/standby.go
@@ -145,6 +145,7 @@
 	r := m.rec.Clone()
 	r.Previous = r.Controller
 	r.Epoch++
+	r.FenceEpoch++
 	r.Naming++
 	r.Controller = m.self
 	r.putNode(m.selfMember())
--- a/core/cell/table.go
+++ b/core/cell/table.go
@@ -49,6 +49,8 @@
 	Cell         string
 	Region       string
 	SheetVersion int64
+	// FenceEpoch is the epoch of the cell's fences; only a controller knows it.
+	FenceEpoch uint64
 	// Contacts can name the owner of a slice.
 	Contacts []Member
 	// RangeIDs identifies the ranges that the cell's record holds.
--- a/core/cell/types.go
+++ b/core/cell/types.go
@@ -21,7 +21,8 @@
 type TargetState uint8
 
 const (
-	// TargetAbsent means that no target has announced itself.
+	// TargetAbsent means that no target has announced itself, or that its process is known
+	// to have ended.
 	TargetAbsent TargetState = iota
 	// TargetStarting means announced but not yet ready for work.
 	TargetStarting
--- /dev/null
+++ b/core/cell/world_test.go
@@ -0,0 +1,445 @@
+package cell
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// world plays several machines, their targets and a store on one simulated time line. It
+// checks after each step that no slice has two holders, that fences grow, that the record
+// loses no assignment and that nothing older is applied.
+type world struct {
+	rng     *rand.Rand
+	t       time.Duration
+	queue   eventHeap
+	count   uint64
+	nodes   map[string]*simNode
+	names   []string
+	store   simStore
+	guards  guards
+	timing  Timing
+	holders map[keyspace.SliceID]simLease
+	fences  map[keyspace.SliceID]fence.Fence
+	running map[keyspace.SliceID]simRun
+	sheets  []*keyspace.Layout
+	cut     map[[2]string]bool
+	chaos   chaos
+	hook    func(from, to, kind string) (hold bool)
+	held    []heldMessage
+	bad     []string
+	log     []string
+	verbose bool
+}
+
+// chaos has the shares of messages that meet a fault.
+type chaos struct {
+	lose, late, duplicate    float64
+	slowWrite, loseWrite     float64
+	staleSheet, pauseAtWrite float64
+	longRuns                 bool
+}
+
+// simLease is the newest holder of a slice, by the real time line.
+type simLease struct {
+	node  Node
+	fence fence.Fence
+	until time.Duration
+}
+
+// simRun is a request that a target executes.
+type simRun struct {
+	node    string
+	target  uint64
+	checks  bool
+	until   time.Duration
+	started time.Duration
+}
+
+type simNode struct {
+	name, domain, cell string
+	m                  *Machine
+	inc                uint64
+	rate               float64
+	pausedUntil        time.Duration
+	target             Target
+	targetAlive        bool
+	watching           bool
+	seenCells          int64
+	sheet              int64
+	table              TableVersion
+	left               bool
+	drains             map[keyspace.SliceID]bool
+}
+
+type simObject struct {
+	version int64
+	writeID string
+	rec     *Record
+}
+
+type simStore struct {
+	version int64
+	objects map[string]simObject
+	down    bool
+	writes  int
+	reads   int
+}
+
+type heldMessage struct {
+	what string
+	run  func()
+}
+
+type simEvent struct {
+	at  time.Duration
+	n   uint64
+	run func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].n < h[j].n)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func newWorld(seed uint64) *world {
+	return &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*simNode), timing: DefaultTiming(),
+		store:   simStore{objects: make(map[string]simObject)},
+		holders: make(map[keyspace.SliceID]simLease), fences: make(map[keyspace.SliceID]fence.Fence),
+		running: make(map[keyspace.SliceID]simRun), cut: make(map[[2]string]bool),
+	}
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.count++
+	heap.Push(&w.queue, simEvent{at: w.t + d, n: w.count, run: run})
+}
+
+// run plays the time line up to the time, or to the first violation.
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until && len(w.bad) == 0 {
+		e := heap.Pop(&w.queue).(simEvent)
+		w.t = e.at
+		e.run()
+	}
+	w.t = max(w.t, until)
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.bad = append(w.bad, fmt.Sprintf("%v: ", w.t)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) logf(format string, args ...any) {
+	w.log = append(w.log, fmt.Sprintf("%7.3f ", w.t.Seconds())+fmt.Sprintf(format, args...))
+	if w.verbose {
+		fmt.Println(w.log[len(w.log)-1])
+	}
+}
+
+func (w *world) addNode(name, domain, cellName string, rate float64, checks bool) *simNode {
+	n := &simNode{name: name, domain: domain, cell: cellName, rate: rate, targetAlive: true}
+	n.target = Target{State: TargetReady, Incarnation: 1, Slots: 6, ChecksFences: checks, Address: name + ":target"}
+	w.nodes[name] = n
+	w.names = append(w.names, name)
+	w.start(n)
+	return n
+}
+
+// start begins a new process on the node's VM.
+func (w *world) start(n *simNode) {
+	n.inc++
+	n.pausedUntil = 0
+	n.watching = false
+	n.sheet, n.table = 0, TableVersion{}
+	n.seenCells = 0
+	n.drains = make(map[keyspace.SliceID]bool)
+	self := Member{
+		Node: Node{n.name, n.inc}, Address: n.name, EntryAddress: n.name + ":entry", Region: n.cell,
+		FailureDomain: n.domain, Target: n.target,
+	}
+	n.m = New(Config{Cell: n.cell, Self: self, Timing: w.timing})
+	n.m.guards = w.guards
+	n.m.target = n.target
+	w.logf("%s starts as incarnation %d", n.name, n.inc)
+	w.tickLoop(n, n.inc)
+}
+
+func (w *world) tickLoop(n *simNode, inc uint64) {
+	if n.inc != inc || n.m == nil {
+		return
+	}
+	if w.t >= n.pausedUntil {
+		w.step(n, inc, TargetReported{Target: n.target})
+		w.step(n, inc, Tick{})
+		w.startRuns(n)
+	}
+	w.after(TickInterval, func() { w.tickLoop(n, inc) })
+}
+
+// kill ends the process; the target may live on.
+func (w *world) kill(n *simNode, withTarget bool) {
+	n.m = nil
+	for id, h := range w.holders {
+		if h.node.Name == n.name {
+			delete(w.holders, id)
+		}
+	}
+	w.logf("%s is lost, target lost: %v", n.name, withTarget)
+	if withTarget {
+		w.killTarget(n)
+	}
+}
+
+func (w *world) killTarget(n *simNode) {
+	n.targetAlive = false
+	n.target.State = TargetAbsent
+	for id, r := range w.running {
+		if r.node == n.name {
+			delete(w.running, id)
+		}
+	}
+}
+
+func (w *world) startTarget(n *simNode) {
+	if !n.targetAlive {
+		n.targetAlive = true
+		n.target.Incarnation++
+		n.target.State = TargetReady
+	}
+}
+
+// clock is the node's boot-time clock.
+func (n *simNode) clock(t time.Duration) time.Duration {
+	return time.Hour + time.Duration(float64(t)*n.rate)
+}
+
+// real converts a reading of the node's clock to the real time line.
+func (n *simNode) real(c time.Duration) time.Duration {
+	return time.Duration(float64(c-time.Hour) / n.rate)
+}
+
+// step feeds an event to the process, after its pause if it is paused.
+func (w *world) step(n *simNode, inc uint64, e Event) {
+	if n.m == nil || n.inc != inc || len(w.bad) > 0 {
+		return
+	}
+	if w.t < n.pausedUntil {
+		w.after(n.pausedUntil-w.t, func() { w.step(n, inc, e) })
+		return
+	}
+	if d, ok := e.(SliceDrained); ok {
+		w.ended(n, d.Slice)
+		delete(n.drains, d.Slice)
+	}
+	for _, effect := range n.m.Step(n.clock(w.t), e) {
+		w.carry(n, inc, effect)
+	}
+	w.checkNode(n)
+}
+
+func (w *world) checkNode(n *simNode) {
+	v := n.m.View()
+	if v.Sheet != nil {
+		if v.Sheet.Version < n.sheet {
+			w.violate("%s goes back from sheet %d to %d", n.name, n.sheet, v.Sheet.Version)
+		}
+		n.sheet = v.Sheet.Version
+	}
+	if v.Table != nil {
+		if v.Table.Version.Less(n.table) {
+			w.violate("%s goes back to an older route table", n.name)
+		}
+		n.table = v.Table.Version
+	}
+}
+
+func (w *world) carry(n *simNode, inc uint64, effect Effect) {
+	switch e := effect.(type) {
+	case SendHeartbeat:
+		w.send(n.name, e.To.Name, "heartbeat", 0, HeartbeatReceived{e.Heartbeat})
+	case AnswerHeartbeat:
+		w.send(n.name, e.To.Name, "answer", e.To.Incarnation, HeartbeatAnswered{e.Answer})
+	case AskPromise:
+		w.send(n.name, e.To.Name, "ask", 0, PromiseAsked{e.Ask})
+	case AnswerPromise:
+		w.send(n.name, e.To.Name, "promise", e.To.Incarnation, PromiseAnswered{e.Answer})
+	case SendPoke:
+		w.send(n.name, e.To.Name, "poke", 0, Poked{e.Poke})
+	case ReadRecord:
+		w.read(n, inc)
+	case WriteRecord:
+		w.writeRecord(n, inc, e)
+	case Watch:
+		n.watching = e.On
+		if e.On {
+			w.watchLoop(n, inc)
+		}
+	case AdoptLeases:
+		w.adopted(n, e.Leases)
+	case EndLeases:
+		for _, id := range e.Slices {
+			w.ended(n, id)
+		}
+	case DrainSlice:
+		n.drains[e.Slice] = true
+		w.drainLoop(n, inc, e.Slice)
+	case ProbePeer:
+		w.probePeer(n, inc, e.Peer)
+	case ProbeTarget:
+		w.probeTarget(n, inc, e)
+	case LeaveDone:
+		n.left = true
+	case Decision:
+		w.logf("%s: %s %s %s (%s)", n.name, e.What, e.Node, sliceText(e.Slice), e.Reason)
+	}
+}
+
+func sliceText(id keyspace.SliceID) string {
+	if id == (keyspace.SliceID{}) {
+		return ""
+	}
+	return fmt.Sprintf("slice %d", id.Index)
+}
+
+// adopted checks the leases that a node takes against every other node's.
+func (w *world) adopted(n *simNode, leases []Adoption) {
+	self := Node{n.name, n.inc}
+	for _, l := range leases {
+		until := n.real(l.Until)
+		h, ok := w.holders[l.Slice]
+		if ok && h.node != self && h.until > w.t {
+			w.violate("slice %d: %s adopts %v while %s holds %v until %v", l.Slice.Index, n.name, l.Fence, h.node.Name, h.fence, h.until)
+		}
+		top := w.fences[l.Slice]
+		if l.Fence.Less(top) || (ok && h.node.Name != n.name && l.Fence == top) {
+			w.violate("slice %d: %s adopts fence %v, highest before is %v", l.Slice.Index, n.name, l.Fence, top)
+		}
+		if r, busy := w.running[l.Slice]; busy && !r.checks && r.node != n.name && r.until > w.t {
+			w.violate("slice %d: %s adopts while %s's target, which checks no fences, may run a request", l.Slice.Index, n.name, r.node)
+		}
+		w.fences[l.Slice] = l.Fence
+		w.holders[l.Slice] = simLease{node: self, fence: l.Fence, until: until}
+	}
+}
+
+func (w *world) ended(n *simNode, id keyspace.SliceID) {
+	if h, ok := w.holders[id]; ok && h.node == (Node{n.name, n.inc}) {
+		h.until = min(h.until, w.t)
+		w.holders[id] = h
+	}
+}
+
+// startRuns lets the node's target execute a request of each slice now and then.
+func (w *world) startRuns(n *simNode) {
+	if !n.targetAlive || !w.chaos.longRuns {
+		return
+	}
+	for id, h := range w.holders {
+		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.drains[id] {
+			continue
+		}
+		if r, busy := w.running[id]; !busy || r.until <= w.t {
+			w.running[id] = simRun{node: n.name, target: n.target.Incarnation, checks: n.target.ChecksFences, until: w.t + 2*time.Second, started: w.t}
+		}
+	}
+}
+
+// drainLoop reports a slice drained once its target runs nothing of it.
+func (w *world) drainLoop(n *simNode, inc uint64, id keyspace.SliceID) {
+	if n.m == nil || n.inc != inc {
+		return
+	}
+	if r, busy := w.running[id]; busy && r.node == n.name && r.until > w.t {
+		w.after(20*time.Millisecond, func() { w.drainLoop(n, inc, id) })
+		return
+	}
+	w.after(10*time.Millisecond, func() {
+		w.step(n, inc, SliceDrained{Slice: id, Window: []byte("window")})
+	})
+}
+
+// send delivers an event to the process that now has the name, or to one incarnation.
+func (w *world) send(from, to, kind string, inc uint64, e Event) {
+	if from != to && w.rng.Float64() < w.chaos.lose {
+		return
+	}
+	deliver := func() {
+		n := w.nodes[to]
+		if n == nil || w.isCut(from, to) || (inc != 0 && n.inc != inc) {
+			return
+		}
+		w.step(n, n.inc, e)
+	}
+	if w.hook != nil && w.hook(from, to, kind) {
+		w.held = append(w.held, heldMessage{what: from + " " + kind + " " + to, run: deliver})
+		return
+	}
+	if from == to {
+		w.after(0, deliver)
+		return
+	}
+	w.after(w.latency(), deliver)
+	if w.rng.Float64() < w.chaos.duplicate {
+		w.after(w.latency(), deliver)
+	}
+}
+
+func (w *world) latency() time.Duration {
+	if w.rng.Float64() < w.chaos.late {
+		return time.Duration(w.rng.IntN(4000)) * time.Millisecond
+	}
+	return time.Millisecond + time.Duration(w.rng.IntN(1000))*time.Microsecond
+}
+
+func (w *world) isCut(a, b string) bool { return w.cut[[2]string{a, b}] || w.cut[[2]string{b, a}] }
+
+func (w *world) probePeer(n *simNode, inc uint64, peer Member) {
+	w.after(w.latency(), func() {
+		p := w.nodes[peer.Name]
+		if p == nil || w.isCut(n.name, peer.Name) {
+			return
+		}
+		if p.m == nil || (p.inc > peer.Incarnation && w.t >= p.pausedUntil) {
+			w.step(n, inc, PeerGone{Node: peer.Node})
+		}
+	})
+}
+
+func (w *world) probeTarget(n *simNode, inc uint64, e ProbeTarget) {
+	w.after(w.latency(), func() {
+		if p := w.nodes[e.Name]; p != nil && !w.isCut(n.name, e.Name) && !p.targetAlive {
+			w.step(n, inc, TargetGone{Name: e.Name, Incarnation: e.Incarnation})
+		}
+	})
+}
+
+// served counts the slices with a live holder.
+func (w *world) served() int {
+	count := 0
+	for _, h := range w.holders {
+		if h.until > w.t {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *world) report() string {
+	return strings.Join(w.bad, "\n") + "\n" + strings.Join(w.log[max(0, len(w.log)-60):], "\n")
+}
