--- a/core/cell/grants.go
+++ b/core/cell/grants.go
@@ -219,7 +219,7 @@
 	if freed, ok := c.freed[id]; ok && lower(f, freed.fence) {
 		return f, false
 	}
-	if !m.targetRecorded(n) {
+	if !m.listed(n.Name) || !m.targetRecorded(n) || m.dropping(id.Range) {
 		return f, false
 	}
 	if _, active := c.active[id]; !active && m.write != nil && m.write.slices[id] {
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -90,6 +90,9 @@
 	anyFence          bool
 	noGonePromise     bool
 	anyTarget         bool
+	grantDropped      bool
+	grantUnlisted     bool
+	activateAny       bool
 }
 
 // New returns the machine of a node that has just started.
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -62,6 +62,7 @@
 	m.planMoves()
 	if next, touched := m.draft(); next != nil {
 		m.put(writePlan, m.version, next, touched)
+		m.write.dropped = droppedRanges(m.rec, next)
 	}
 }
 
@@ -166,19 +167,16 @@
 	activated := false
 	for _, id := range sortedSlices(c.routes.slices) {
 		r := c.routes.slices[id]
-		if _, done := c.active[id]; done || r.owner == "" {
+		if _, done := c.active[id]; done || r.owner == "" || m.dropping(id.Range) {
 			continue
 		}
 		lost, reason := m.ownerLost(id, r)
-		a := m.rec.assignment(id)
-		if !lost || a == nil || a.Successor == "" {
+		to := m.successorOf(id)
+		if !lost || to == "" {
 			continue
 		}
-		if n := c.members[a.Successor]; n == nil || !m.fit(n) {
-			continue
-		}
-		c.active[id] = activation{owner: a.Successor, seq: m.nextSeq()}
-		m.decide("activate successor", id, a.Successor, reason+"; the store cannot be written")
+		c.active[id] = activation{owner: to, seq: m.nextSeq()}
+		m.decide("activate successor", id, to, reason+"; the store cannot be written")
 		activated = true
 	}
 	if activated {
@@ -186,6 +184,40 @@
 	}
 }
 
+// successorOf returns the node to activate for a slice: the successor of the record or, if
+// a write in doubt assigns the slice, the owner that it names. Empty when neither is fit.
+// A target that does not check fences is not activated: as the record does not name it, a
+// next controller could not know that it may still run a request.
+func (m *Machine) successorOf(id keyspace.SliceID) string {
+	var names []string
+	if a := m.rec.assignment(id); a != nil {
+		names = append(names, a.Successor)
+	}
+	if m.write != nil && m.write.slices[id] {
+		names = append(names, m.write.record.assignment(id).Owner)
+	}
+	for _, name := range names {
+		n := m.ctl.members[name]
+		if n != nil && m.fit(n) && m.listed(name) && (n.Target.ChecksFences || m.guards.activateAny) {
+			return name
+		}
+	}
+	return ""
+}
+
+// listed reports whether the record names the node, also if the write in doubt has taken
+// effect. A next controller waits for the reports of the nodes that the record names.
+func (m *Machine) listed(name string) bool {
+	if m.guards.grantUnlisted {
+		return true
+	}
+	_, ok := m.rec.Node(name)
+	if ok && m.write != nil {
+		_, ok = m.write.record.Node(name)
+	}
+	return ok
+}
+
 // settleActivations forgets the activations that the record now holds.
 func (m *Machine) settleActivations() {
 	for id, act := range m.ctl.active {
--- a/core/cell/write.go
+++ b/core/cell/write.go
@@ -38,6 +38,9 @@
 	inFlight bool
 	// slices are those that the write assigns.
 	slices map[keyspace.SliceID]bool
+	// dropped are the ranges that the write gives up: another cell takes them once it has
+	// taken effect, so nothing of them may be granted while it can.
+	dropped map[keyspace.RangeID]bool
 }
 
 func (m *Machine) put(kind writeKind, expected int64, rec *Record, slices map[keyspace.SliceID]bool) {
@@ -141,5 +144,22 @@
 	m.standby.retryAt = m.now + readRetry
 }
 
+// dropping reports whether a write that gives up the range may take effect.
+func (m *Machine) dropping(id keyspace.RangeID) bool {
+	return m.write != nil && m.write.dropped[id] && !m.guards.grantDropped
+}
+
+// droppedRanges returns the ranges that the next record no longer holds.
+func droppedRanges(old, next *Record) map[keyspace.RangeID]bool {
+	dropped := make(map[keyspace.RangeID]bool)
+	for i := range old.Ranges {
+		dropped[old.Ranges[i].Range.ID()] = true
+	}
+	for i := range next.Ranges {
+		delete(dropped, next.Ranges[i].Range.ID())
+	}
+	return dropped
+}
+
 // inDoubt reports whether a write of the kind may take effect without this node knowing.
 func (m *Machine) inDoubt(kind writeKind) bool { return m.write != nil && m.write.kind == kind }
