--- /dev/null
+++ b/standin/load/load.go
@@ -0,0 +1,118 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lateStart is the delay of a sending that counts as late.
+	lateStart = 10 * time.Millisecond
+	// grace is the time after its deadline that a caller still waits for the outcome.
+	grace        = time.Second
+	idleConns    = 512
+	idleTimeout  = 30 * time.Second
+	maxBodyBytes = 1 << 20
+)
+
+// Run sends what the plan says and returns what it measured once the last request has
+// ended. It ends early, with what was sent so far, when the context ends.
+func Run(ctx context.Context, plan Plan) (Result, error) {
+	if err := plan.provision(); err != nil {
+		return Result{}, err
+	}
+	g := &generator{
+		plan:     &plan,
+		recorder: newRecorder(&plan),
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: idleConns,
+			IdleConnTimeout:     idleTimeout,
+		}},
+	}
+	defer g.client.CloseIdleConnections()
+	g.run(ctx)
+	return g.recorder.result(), nil
+}
+
+type generator struct {
+	plan     *Plan
+	recorder *recorder
+	client   *http.Client
+	// owners maps service and key to the base URL of the owner's node.
+	owners   sync.Map
+	inFlight atomic.Int64
+	calls    sync.WaitGroup
+}
+
+func (g *generator) run(ctx context.Context) {
+	arrivals := newSchedule(g.plan)
+	start := time.Now()
+	for {
+		a, ok := arrivals.next()
+		if !ok || !sleepUntil(ctx, start.Add(a.at)) {
+			break
+		}
+		entry := g.plan.Entries[arrivals.random.IntN(len(g.plan.Entries))]
+		if g.inFlight.Load() >= int64(g.plan.MaxInFlight) {
+			g.recorder.record(a, end{outcome: Dropped, reason: "too many under way"})
+			continue
+		}
+		g.inFlight.Add(1)
+		g.calls.Go(func() { g.send(start, a, entry) })
+	}
+	g.calls.Wait()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (g *generator) send(start time.Time, a arrival, entry string) {
+	defer g.inFlight.Add(-1)
+	intended := start.Add(a.at)
+	if time.Since(intended) > lateStart {
+		g.recorder.lateStart()
+	}
+	kind := g.plan.Kinds[a.kind]
+	ctx, cancel := context.WithDeadline(context.Background(), intended.Add(kind.Deadline.Std()+grace))
+	defer cancel()
+	time.Sleep(g.plan.CallerDelay.Std())
+	name := kind.Service + "/" + a.key
+	if owner, ok := g.owners.Load(name); ok && g.plan.LearnOwners {
+		entry = owner.(string)
+	}
+	e, owner := g.call(ctx, entry, kind, a.key, intended)
+	time.Sleep(g.plan.CallerDelay.Std())
+	e.latency = time.Since(intended)
+	g.learn(name, owner, e.outcome)
+	g.recorder.record(a, e)
+}
+
+func (g *generator) learn(name, owner string, outcome Outcome) {
+	if !g.plan.LearnOwners {
+		return
+	}
+	if owner == "" || outcome != Answered {
+		g.owners.Delete(name)
+		return
+	}
+	if !strings.HasPrefix(owner, "http") {
+		owner = "http://" + owner
+	}
+	g.owners.Store(name, owner)
+}
