Keep a slice closed once its drain has begun

Cause: a renewal of the lease that was on its way when a slice was drained was adopted as a new lease under the old fence, so the former owner served beside the next one (seen in the execution logs: fence 1.4294967317 after 1.4294967340). A renewal during a drain replaced the draining slice by an open one and the drain never ended. Ruled out: the frozen target that the scene was about; it was frozen three seconds later. Both tests failed before ('got answered, want not-run' and 'the drain did not end') and pass now.

--- /dev/null
+++ b/node/owner/drain_test.go
@@ -0,0 +1,57 @@
+package owner
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// TestRenewalDoesNotReopenADrainedSlice renews the lease of a slice after it was drained, as a
+// heartbeat's answer on the way does. Its next owner may serve by then.
+func TestRenewalDoesNotReopenADrainedSlice(t *testing.T) {
+	s := newStand(t, nil)
+	drained := make(chan struct{})
+	s.owner.Drain(bookings.SliceOf("any"), func([]byte) { close(drained) })
+	<-drained
+	s.adopt(1, time.Now().Add(-time.Minute), nil)
+	result, _ := s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonNotOwner)
+	s.adopt(2, time.Now().Add(-time.Minute), nil)
+	result, _ = s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.Answered, outcome.ReasonNone)
+}
+
+// TestRenewalDoesNotReopenADrainingSlice renews the lease while a request still runs: the
+// request is finished, nothing new is admitted, and the drain ends.
+func TestRenewalDoesNotReopenADrainingSlice(t *testing.T) {
+	s := newStand(t, nil)
+	release := make(chan struct{})
+	s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
+		s.fake.ran(r)
+		<-release
+		w.WriteHeader(http.StatusNoContent)
+	})
+	first := make(chan outcome.Outcome, 1)
+	go func() {
+		first <- s.owner.Serve(t.Context(), booking(ulid.Make(), 1), &answerSink{}).Outcome
+	}()
+	eventually(t, "request at the target", func() bool { return s.fake.total() == 1 })
+	drained := make(chan struct{})
+	s.owner.Drain(bookings.SliceOf("any"), func([]byte) { close(drained) })
+	s.adopt(1, time.Now().Add(-time.Minute), nil)
+	result, _ := s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonMoving)
+	close(release)
+	if got := <-first; got != outcome.Answered {
+		t.Errorf("the running request ended %v", got)
+	}
+	select {
+	case <-drained:
+	case <-time.After(pollLimit):
+		t.Error("the drain did not end")
+	}
+}
--- a/node/owner/holder.go
+++ b/node/owner/holder.go
@@ -21,8 +21,17 @@
 }
 
 func (o *Owner) adopt(now time.Duration, lease plane.Lease) {
+	if drained, ok := o.drained[lease.Slice]; ok && !drained.Less(lease.Fence) {
+		// A renewal that was on its way when the slice was given up.
+		return
+	}
 	s, held := o.slices[lease.Slice]
+	if held && s.drained != nil && !s.lease.Fence.Less(lease.Fence) {
+		s.until.Store(int64(lease.Until))
+		return
+	}
 	if !held || s.isClosed() {
+		delete(o.drained, lease.Slice)
 		o.slices[lease.Slice] = newSlice(lease, o.firstWindow(lease))
 		o.cfg.Logger.Info("slice adopted", "slice", lease.Slice.String(), "service", lease.Service,
 			"fence", lease.Fence.String(), "reason", "granted")
@@ -109,6 +118,7 @@
 	s.drained = nil
 	s.until.Store(0)
 	delete(o.slices, s.lease.Slice)
+	o.drained[s.lease.Slice] = s.lease.Fence
 	o.revoke = append(o.revoke, s.lease.Slice)
 	logger := o.cfg.Logger
 	return []func(){o.requestPush, func() {
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/core/admission"
+	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/pacing"
@@ -85,8 +86,11 @@
 	// push asks for grants to be sent to the target.
 	push chan struct{}
 
-	mu      sync.Mutex
-	slices  map[keyspace.SliceID]*slice
+	mu     sync.Mutex
+	slices map[keyspace.SliceID]*slice
+	// drained holds the fence under which each slice was handed over; a renewal under it or a
+	// lower one comes too late.
+	drained map[keyspace.SliceID]fence.Fence
 	queue   *admission.Queue
 	tracker *quarantine.Tracker
 	// lastID numbers the works in the queue.
@@ -128,6 +132,7 @@
 		begin:   time.Now(),
 		push:    make(chan struct{}, 1),
 		slices:  map[keyspace.SliceID]*slice{},
+		drained: map[keyspace.SliceID]fence.Fence{},
 		queue:   queue,
 		tracker: quarantine.New(cfg.Quarantine),
 		waiting: map[uint64]*run{},
--- a/standin/faults/faults_test.go
+++ b/standin/faults/faults_test.go
@@ -1,6 +1,9 @@
 package faults
 
 import (
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +20,7 @@
 // scene opens a scene of the cell's usual size.
 func scene(t *testing.T, change func(o *Options)) *Scene {
 	t.Helper()
-	o := Options{Bin: bin, Dir: t.TempDir(), VMs: 4}
+	o := Options{Bin: bin, Dir: sceneDir(t), VMs: 4}
 	if change != nil {
 		change(&o)
 	}
@@ -29,6 +32,19 @@
 	return s
 }
 
+// keepDir names the variable with a folder in which settings and logs of scenes stay.
+const keepDir = "AUBURNRELAY_SCENES"
+
+func sceneDir(t *testing.T) string {
+	root := os.Getenv(keepDir)
+	if root == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(root, strings.ReplaceAll(t.Name(), "/", "-"))
+	must(t, os.MkdirAll(dir, 0o700))
+	return dir
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
--- a/standin/probe/probe.go
+++ b/standin/probe/probe.go
@@ -80,6 +80,11 @@
 }
 
 func (p *Prober) loop(ctx context.Context, offset int, key string) {
+	select {
+	case <-time.After(p.config.Every * time.Duration(offset) / time.Duration(len(p.config.Keys))):
+	case <-ctx.Done():
+		return
+	}
 	ticker := time.NewTicker(p.config.Every)
 	defer ticker.Stop()
 	for n := offset; ; n++ {
