--- a/core/cell/write.go
+++ b/core/cell/write.go
@@ -30,7 +30,7 @@
 	// ids has the id of each attempt on the expected version; sent their times.
 	ids  []string
 	sent []time.Duration
-	// bumped tells that the last attempt writes the old record to move the version.
+	// bumped tells that all attempts but the first write the old record to move the version.
 	bumped bool
 	// unknown tells that some attempt may still take effect.
 	unknown bool
@@ -87,7 +87,7 @@
 	w := m.write
 	m.write = nil
 	rec, kind := w.record, w.kind
-	if w.bumped && i == len(w.ids)-1 {
+	if w.bumped && i > 0 {
 		rec, kind = m.rec, writeMove
 	}
 	if rec == nil {
