Take a slice that was released for a move back when the store goes down

Ruled out: the successors' activation, which took 2.0 s for the slices of the lost node. The controller now gives the slice back to its owner in the record under a higher fence, with its window of ids. A scene now waits until every VM owns a slice; before, it could hit a VM without any.

--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -170,6 +170,10 @@
 		if _, done := c.active[id]; done || r.owner == "" || m.dropping(id.Range) {
 			continue
 		}
+		if m.takeBack(id, r) {
+			activated = true
+			continue
+		}
 		lost, reason := m.ownerLost(id, r)
 		to := m.successorOf(id)
 		if !lost || to == "" {
@@ -184,6 +188,27 @@
 	}
 }
 
+// takeBack gives a slice that was released for a move back to its owner in the record, as
+// the move cannot be written. Nobody holds it, and a next controller waits for that owner's
+// report.
+func (m *Machine) takeBack(id keyspace.SliceID, r route) bool {
+	c := m.ctl
+	freed, released := c.freed[id]
+	if !released || !lower(m.rec.fence(r.seq), freed.fence) {
+		return false
+	}
+	n := c.members[r.owner]
+	if n == nil || !m.fit(n) || !m.listed(r.owner) {
+		return false
+	}
+	act := activation{owner: r.owner, seq: m.nextSeq()}
+	c.active[id] = act
+	c.windows[id] = handover{seq: act.seq, window: freed.window}
+	delete(c.moving, id)
+	m.decide("take slice back", id, r.owner, "released for a move; the store cannot be written")
+	return true
+}
+
 // successorOf returns the node to activate for a slice: the successor of the record or, if
 // a write in doubt assigns the slice, the owner that it names. Empty when neither is fit.
 // A target that does not check fences is not activated: as the record does not name it, a
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -107,16 +107,28 @@
 	s.Probe = probe.Start(probe.Config{
 		Entries: entries, Service: service, Keys: s.keys, Every: probeEvery, Deadline: probeWait,
 	})
+	if err := s.spread(); err != nil {
+		return err
+	}
 	return s.Settled()
 }
 
-// Settled waits until every key has been answered anew by now and the standby is named.
+// spread waits until every VM owns a slice.
+func (s *Scene) spread() error {
+	return fleet.Await(settleLimit, func() bool {
+		record, err := s.Record()
+		return err == nil && record.owners() == len(s.Fleet.VMs)
+	})
+}
+
+// Settled waits until every key has been answered anew, and the record names a standby and
+// a successor for each slice if the cell has more than one node.
 func (s *Scene) Settled() error {
 	from := time.Now()
 	return fleet.Await(settleLimit, func() bool {
-		served := s.Probe.ServedSince(from)
 		record, err := s.Record()
-		return served == len(s.keys) && err == nil && (len(s.Fleet.VMs) == 1 || record.Standby.Name != "")
+		whole := len(s.Fleet.VMs) == 1 || record.complete()
+		return err == nil && whole && s.Probe.ServedSince(from) == len(s.keys)
 	})
 }
 
@@ -129,6 +141,37 @@
 	Standby struct {
 		Name string `json:"name"`
 	} `json:"standby"`
+	Ranges []struct {
+		Slices []struct {
+			Owner     string `json:"o"`
+			Successor string `json:"s"`
+		} `json:"slices"`
+	} `json:"ranges"`
+}
+
+// owners counts the VMs that own a slice.
+func (r Record) owners() int {
+	names := map[string]bool{}
+	for _, rng := range r.Ranges {
+		for _, slice := range rng.Slices {
+			names[slice.Owner] = true
+		}
+	}
+	delete(names, "")
+	return len(names)
+}
+
+// complete reports whether the record names a standby, and an owner and a successor for
+// every slice.
+func (r Record) complete() bool {
+	for _, rng := range r.Ranges {
+		for _, slice := range rng.Slices {
+			if slice.Owner == "" || slice.Successor == "" {
+				return false
+			}
+		}
+	}
+	return r.Standby.Name != "" && len(r.Ranges) > 0
 }
 
 // Record reads the cell's record from the store.
