--- /dev/null
+++ b/standin/link/relay.go
@@ -0,0 +1,258 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// chunkBytes is the most that is sent over the region link at once, so that a small
+	// message waits behind little of a large one.
+	chunkBytes = 4 << 10
+	// queueChunks bounds what is under way on one connection.
+	queueChunks     = 64
+	dialTimeout     = 2 * time.Second
+	bytesPerMegabit = 1_000_000 / 8
+)
+
+// direction is one way between two regions.
+type direction struct {
+	from string
+	to   string
+}
+
+// lane is the shared capacity and the count of one direction.
+type lane struct {
+	limiter *rate.Limiter
+	bytes   atomic.Int64
+}
+
+// cutPair names two places, regions or failure domains, that cannot reach one another.
+type cutPair struct {
+	a string
+	b string
+}
+
+// Relay carries the connections of a plan.
+type Relay struct {
+	plan      Plan
+	listeners []net.Listener
+	conns     sync.WaitGroup
+
+	mu    sync.Mutex
+	cuts  map[cutPair]bool
+	lanes map[direction]*lane
+	// changed is closed and replaced when the cuts change.
+	changed chan struct{}
+}
+
+// Listen opens the listeners of the plan. Run serves them.
+func Listen(plan Plan) (*Relay, error) {
+	if err := plan.check(); err != nil {
+		return nil, err
+	}
+	r := &Relay{
+		plan:    plan,
+		cuts:    make(map[cutPair]bool),
+		lanes:   make(map[direction]*lane),
+		changed: make(chan struct{}),
+	}
+	for _, route := range plan.Routes {
+		listener, err := net.Listen("tcp", route.Listen)
+		if err != nil {
+			r.close()
+			return nil, errors.Wrapf(err, "route to %s", route.To)
+		}
+		r.listeners = append(r.listeners, listener)
+	}
+	return r, nil
+}
+
+// Address returns the address of the route's listener.
+func (r *Relay) Address(route int) string { return r.listeners[route].Addr().String() }
+
+// Run carries connections until the context ends.
+func (r *Relay) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i, listener := range r.listeners {
+		r.conns.Go(func() { r.accept(ctx, listener, r.plan.Routes[i]) })
+	}
+	<-ctx.Done()
+	r.close()
+	r.conns.Wait()
+	return nil
+}
+
+func (r *Relay) close() {
+	for _, listener := range r.listeners {
+		_ = listener.Close()
+	}
+}
+
+func (r *Relay) accept(ctx context.Context, listener net.Listener, route Route) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r.conns.Go(func() { r.carry(ctx, conn, route) })
+	}
+}
+
+// carry connects one caller with the route's other end and copies both ways.
+func (r *Relay) carry(ctx context.Context, near net.Conn, route Route) {
+	defer near.Close()
+	from := r.placeOf(near, route)
+	if !r.waitHealed(ctx, from, route.ToPlace) {
+		return
+	}
+	delay := r.plan.delay(from, route.ToPlace)
+	// The first packet of a connection crosses before any of its bytes.
+	if !pause(ctx, delay) {
+		return
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: localOf(near)}
+	far, err := dialer.DialContext(ctx, "tcp", route.To)
+	if err != nil {
+		reset(near)
+		return
+	}
+	defer far.Close()
+	stop := context.AfterFunc(ctx, func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	defer stop()
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(ctx, far, near, from, route.ToPlace) })
+	both.Go(func() { r.copy(ctx, near, far, route.ToPlace, from) })
+	both.Wait()
+}
+
+// localOf keeps the caller's IP number towards the far end.
+func localOf(near net.Conn) net.Addr {
+	remote, ok := near.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return nil
+	}
+	return &net.TCPAddr{IP: remote.IP}
+}
+
+// reset ends a connection as a machine that refuses it does.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func (r *Relay) placeOf(conn net.Conn, route Route) Place {
+	if route.From.Region != "" {
+		return route.From
+	}
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return Place{}
+	}
+	return r.plan.Places[host]
+}
+
+// chunk is some bytes on their way.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// copy carries bytes one way until either end closes. What was read before a cut and is
+// not yet due waits for the end of the cut, as a sender's retransmissions would.
+func (r *Relay) copy(ctx context.Context, to, from net.Conn, fromPlace, toPlace Place) {
+	chunks := make(chan chunk, queueChunks)
+	go r.read(ctx, from, fromPlace, toPlace, chunks)
+	for c := range chunks {
+		if !pause(ctx, time.Until(c.due)) || !r.waitHealed(ctx, fromPlace, toPlace) || !send(to, c.data) {
+			_ = from.Close()
+			break
+		}
+	}
+	closeWrite(to)
+	for range chunks {
+		// Lets the reader end if it waits for room.
+		continue
+	}
+}
+
+// read puts what comes from the connection on its way, at the rate of the lane.
+func (r *Relay) read(ctx context.Context, from net.Conn, fromPlace, toPlace Place, chunks chan<- chunk) {
+	defer close(chunks)
+	delay := r.plan.delay(fromPlace, toPlace)
+	lane := r.laneOf(fromPlace, toPlace)
+	for {
+		data := make([]byte, chunkBytes)
+		n, err := from.Read(data)
+		if n > 0 {
+			if lane != nil && !lane.take(ctx, n) {
+				return
+			}
+			chunks <- chunk{data: data[:n], due: time.Now().Add(delay)}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *lane) take(ctx context.Context, n int) bool {
+	if l.limiter.WaitN(ctx, n) != nil {
+		return false
+	}
+	l.bytes.Add(int64(n))
+	return true
+}
+
+func send(to io.Writer, data []byte) bool {
+	_, err := to.Write(data)
+	return err == nil
+}
+
+func closeWrite(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+// pause waits for the time; it returns false when the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// laneOf returns the shared lane between the places' regions, nil within a region.
+func (r *Relay) laneOf(from, to Place) *lane {
+	if from.Region == to.Region {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := direction{from.Region, to.Region}
+	if r.lanes[d] == nil {
+		bytesPerSecond := r.plan.RegionMbits * bytesPerMegabit
+		r.lanes[d] = &lane{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), chunkBytes)}
+	}
+	return r.lanes[d]
+}
