--- a/node/owner/faults_test.go
+++ b/node/owner/faults_test.go
@@ -148,7 +148,7 @@
 func moved(s *stand) *stand {
 	windows := make(chan []byte, 1)
 	s.owner.Drain(bookings.SliceOf("bay/7"), func(window []byte) { windows <- window })
-	next := newStand(s.t, nil)
+	next := newStand(s.t)
 	next.adopt(9, time.Now(), <-windows)
 	return next
 }
@@ -156,7 +156,7 @@
 // lost leaves the slice to a second node that was told nothing.
 func lost(s *stand) *stand {
 	s.owner.End([]keyspace.SliceID{bookings.SliceOf("bay/7")}, "test")
-	next := newStand(s.t, nil)
+	next := newStand(s.t)
 	next.owner.End([]keyspace.SliceID{bookings.SliceOf("bay/7")}, "test")
 	next.adopt(9, time.Now().Add(time.Millisecond), nil)
 	return next
@@ -248,7 +248,7 @@
 }
 
 func (f fault) play(t *testing.T) string {
-	s := newStand(t, nil)
+	s := newStand(t)
 	if f.before != nil {
 		f.before(s)
 	}
@@ -313,7 +313,7 @@
 
 // TestUnreachableTargetIsNotRun dials an address where nobody listens.
 func TestUnreachableTargetIsNotRun(t *testing.T) {
-	s := newStand(t, nil)
+	s := newStand(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/node/owner/owner_test.go
+++ b/node/owner/owner_test.go
@@ -101,16 +101,6 @@
 	return f.executions[id.String()]
 }
 
-func (f *fakeTarget) total() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, count := range f.executions {
-		n += count
-	}
-	return n
-}
-
 func (f *fakeTarget) putGrants(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Grants []struct{ Slice, Fence string }
@@ -177,7 +167,7 @@
 	manuals  = keyspace.Range{Service: "manuals", Kind: keyspace.Shared, Slices: 1}
 )
 
-func newStand(t *testing.T, change func(*Config)) *stand {
+func newStand(t *testing.T) *stand {
 	t.Helper()
 	s := &stand{t: t, fake: newFakeTarget(t), begin: time.Now().Add(-time.Hour)}
 	logger := slog.New(slog.DiscardHandler)
@@ -189,9 +179,6 @@
 	}
 	cfg := DefaultConfig(1, s.clock, logger)
 	cfg.Admission.Warmup = 0
-	if change != nil {
-		change(&cfg)
-	}
 	if s.owner, err = New(cfg, s.link); err != nil {
 		t.Fatal(err)
 	}
@@ -286,7 +273,7 @@
 }
 
 func TestServeAnswersWhole(t *testing.T) {
-	s := newStand(t, nil)
+	s := newStand(t)
 	id := ulid.Make()
 	result, sink := s.serve(booking(id, 1))
 	expect(t, result, outcome.Answered, "")
