Count open connections to the target; wait for a closed one in its test

Cause: the test of a pooled connection that the target closed went red when the link had not seen the close before it sent: the booking then truly ended unknown. The link now counts its open connections, which the test polls. Ruled out: a wrong classification (0 executions were seen, and the bytes had been given to the socket). go test -race -count=3 ./owner: green.

--- a/core/outcome/badrequest.go
+++ b/core/outcome/badrequest.go
@@ -1,4 +1,4 @@
 package outcome
 
-// ReasonBadRequest: the request breaks the interface and never will run as it is.
+// ReasonBadRequest means that the request breaks the interface and never will run as it is.
 const ReasonBadRequest Reason = "bad-request"
--- a/node/owner/faults_test.go
+++ b/node/owner/faults_test.go
@@ -173,6 +173,7 @@
 		"pooled-connection-closed-before-send": {before: func(s *stand) {
 			s.serve(lookup(manuals, "first"))
 			s.fake.server.CloseClientConnections()
+			eventually(s.t, "the close noticed", func() bool { return s.link.OpenConns() == 0 })
 		}},
 		"refused-shed":     {work: refuses("shed", 503)},
 		"refused-fence":    {work: refuses("fence", 412)},
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,6 +19,9 @@
 // proved never to have been sent.
 type meteredConn struct {
 	net.Conn
+	// open counts the open connections of the link; closed tells that this one is out of it.
+	open   *atomic.Int64
+	closed sync.Once
 
 	mu      sync.Mutex
 	written int64
@@ -35,6 +39,12 @@
 	return c.Conn.Write(p)
 }
 
+// Close closes the connection and counts it out.
+func (c *meteredConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 func (c *meteredConn) admit(n int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/target/link.go
+++ b/node/target/link.go
@@ -115,6 +115,7 @@
 	transport *http.Transport
 	control   *http.Transport
 	inFlight  atomic.Int64
+	openConns atomic.Int64
 	stopping  atomic.Bool
 	// kick asks for a probe at once.
 	kick chan struct{}
@@ -138,15 +139,17 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
+	l := &Link{cfg: cfg, kick: make(chan struct{}, 1)}
 	dialer := net.Dialer{Timeout: cfg.ConnectTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &meteredConn{Conn: conn}, nil
+		l.openConns.Add(1)
+		return &meteredConn{Conn: conn, open: &l.openConns}, nil
 	}
-	transport := &http.Transport{
+	l.transport = &http.Transport{
 		DialContext:            dial,
 		MaxConnsPerHost:        cfg.MaxConns,
 		MaxIdleConns:           cfg.MaxConns,
@@ -155,12 +158,12 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
-	control := &http.Transport{
+	l.control = &http.Transport{
 		DialContext:     dialer.DialContext,
 		MaxConnsPerHost: controlConns,
 		IdleConnTimeout: time.Minute,
 	}
-	return &Link{cfg: cfg, transport: transport, control: control, kick: make(chan struct{}, 1)}, nil
+	return l, nil
 }
 
 // Subscribe registers a listener for changes. It must be called before Run, and the
@@ -190,6 +193,9 @@
 	}
 }
 
+// OpenConns returns the number of open connections for work.
+func (l *Link) OpenConns() int { return int(l.openConns.Load()) }
+
 // SetStopping sets the flag that asks the target, in the answer to its announcements, to stop.
 func (l *Link) SetStopping(stop bool) { l.stopping.Store(stop) }
 
