--- a/core/admission/learn.go
+++ b/core/admission/learn.go
@@ -31,7 +31,9 @@
 	classes map[Class]*classTime
 	// median is the logarithm of the typical work time in nanoseconds.
 	median float64
-	count  int
+	// typicalTime is the typical work time; zero if none is known.
+	typicalTime time.Duration
+	count       int
 }
 
 func newLearner() learner { return learner{classes: map[Class]*classTime{}} }
@@ -57,7 +59,6 @@
 	x := logOf(took)
 	if l.count == 1 {
 		l.median = x
-		return
 	}
 	step := max(medianStep, firstMedianStep/float64(l.count))
 	switch {
@@ -66,6 +67,7 @@
 	case x < l.median:
 		l.median -= step
 	}
+	l.typicalTime = time.Duration(math.Exp(l.median))
 }
 
 // estimate returns the learned time of the class, and false if there is none yet.
@@ -78,12 +80,7 @@
 }
 
 // typical returns the typical work time, zero if none is known.
-func (l *learner) typical() time.Duration {
-	if l.count == 0 {
-		return 0
-	}
-	return time.Duration(math.Exp(l.median))
-}
+func (l *learner) typical() time.Duration { return l.typicalTime }
 
 // makeRoom drops the half of the classes that was not seen for longest.
 func (l *learner) makeRoom() {
--- a/core/admission/policy.go
+++ b/core/admission/policy.go
@@ -34,6 +34,10 @@
 	// LongShare is the share of the slots that long work may take, above 0 and up to 1; at
 	// least one slot in any case.
 	LongShare float64
+	// LongPatience is how long waiting long work leaves the slots beyond its first one to short
+	// work, in multiples of its expected time. It smooths long work, so that it holds few slots
+	// most of the time rather than many at some times.
+	LongPatience float64
 	// LongFactor is how many times the typical work time makes work long.
 	LongFactor float64
 	// LongFloor is the work time below which no work is long.
@@ -43,12 +47,15 @@
 	// KeyShare is the share of the slots that one key may take while others wait, and its
 	// share of the places in the queue.
 	KeyShare float64
-	// DelayTarget is the queue delay that short work may have at overload.
-	DelayTarget time.Duration
+	// DelayTarget is the queue delay that short work may have at overload, in multiples of the
+	// typical work time.
+	DelayTarget float64
 	// DelayInterval is how long the delay must stay above its target to count as overload,
-	// and the delay that short work may have otherwise.
-	DelayInterval time.Duration
-	// Warmup is how long a new target takes to be given all its slots.
+	// and the delay that short work may have otherwise, in multiples of the typical work time.
+	DelayInterval float64
+	// DelayFloor is the least delay target; the interval is kept as many times longer.
+	DelayFloor time.Duration
+	// Warmup is how long a new target takes to be given all its slots; zero gives them at once.
 	Warmup time.Duration
 	// WarmupShare is the share of the slots that a new target is given at once.
 	WarmupShare float64
@@ -60,13 +67,15 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		LongShare:     1.0 / 3,
+		LongPatience:  2,
 		LongFactor:    8,
 		LongFloor:     20 * time.Millisecond,
 		QueueLength:   256,
 		KeyShare:      0.5,
-		DelayTarget:   20 * time.Millisecond,
-		DelayInterval: 100 * time.Millisecond,
-		Warmup:        3 * time.Second,
+		DelayTarget:   2,
+		DelayInterval: 10,
+		DelayFloor:    4 * time.Millisecond,
+		Warmup:        0,
 		WarmupShare:   1.0 / 3,
 		Pushback:      time.Second,
 	}
@@ -88,12 +97,14 @@
 	switch {
 	case p.LongShare <= 0 || p.LongShare > 1:
 		return errors.Wrap(ErrPolicy, "share of long work must be above 0 and at most 1")
+	case p.LongPatience < 0:
+		return errors.Wrap(ErrPolicy, "patience of long work must not be negative")
 	case p.LongFactor <= 1:
 		return errors.Wrap(ErrPolicy, "factor of long work must be above 1")
 	case p.KeyShare <= 0 || p.KeyShare > 1:
 		return errors.Wrap(ErrPolicy, "share of one key must be above 0 and at most 1")
-	case p.DelayTarget <= 0 || p.DelayInterval < p.DelayTarget:
-		return errors.Wrap(ErrPolicy, "delay target must be positive and at most the interval")
+	case p.DelayTarget <= 0 || p.DelayInterval < p.DelayTarget || p.DelayFloor <= 0:
+		return errors.Wrap(ErrPolicy, "delay target and floor must be positive, the target at most the interval")
 	case p.WarmupShare <= 0 || p.WarmupShare > 1:
 		return errors.Wrap(ErrPolicy, "warm-up share must be above 0 and at most 1")
 	case p.Warmup < 0 || p.Pushback < 0 || p.LongFloor < 0:
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -88,7 +88,6 @@
 		running:    map[uint64]*item{},
 		keyRunning: map[uint64]int{},
 		keyWaiting: map[uint64]int{},
-		delay:      delayGauge{target: policy.DelayTarget, interval: policy.DelayInterval},
 	}, nil
 }
 
@@ -172,14 +171,33 @@
 	return ""
 }
 
-// expectedWait estimates how long the item would be queued behind its own kind.
+// expectedWait estimates how long the item would be queued. Work of keys that hold their
+// share of the slots already waits for itself only.
 func (q *Queue) expectedWait(now time.Duration, it *item) time.Duration {
-	ahead := time.Duration(len(*q.lineOf(it))) * it.expected
+	soft := q.keySoftLimit()
+	ahead := len(*q.lineOf(it))
 	slots := q.Slots(now)
 	if it.long {
 		slots = q.longLimit(slots)
 	}
-	return ahead / time.Duration(max(slots, 1))
+	if q.keyRunning[it.Key] >= soft {
+		ahead = q.keyWaiting[it.Key]
+		slots = min(slots, soft)
+	} else if !it.long {
+		ahead = max(0, ahead-q.waitingForShare(soft))
+	}
+	return time.Duration(ahead) * it.expected / time.Duration(max(slots, 1))
+}
+
+// waitingForShare counts the waiting works of keys that hold their share of the slots.
+func (q *Queue) waitingForShare(soft int) int {
+	n := 0
+	for key, running := range q.keyRunning {
+		if running >= soft {
+			n += q.keyWaiting[key]
+		}
+	}
+	return n
 }
 
 func (q *Queue) expectedWork(class Class) time.Duration {
--- a/core/admission/schedule.go
+++ b/core/admission/schedule.go
@@ -7,8 +7,12 @@
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 )
 
-// checkPeriod is how often a queue with waiting or running work wants to be looked at.
-const checkPeriod = 5 * time.Millisecond
+const (
+	// shortCheck is how often a queue with waiting short work wants to be looked at.
+	shortCheck = 5 * time.Millisecond
+	// longCheck is the same when only long work waits.
+	longCheck = 25 * time.Millisecond
+)
 
 // Next sheds what has waited too long and starts what has a slot. It must be called after
 // each Finish, and when NextCheck says so.
@@ -23,7 +27,7 @@
 		q.start(now, it)
 		waited := now - it.arrived
 		if !it.long {
-			q.delay.observe(now, waited)
+			q.delay.observe(now, waited, q.delayTarget(), q.delayInterval())
 		}
 		decisions = append(decisions, Decision{ID: it.ID, Verdict: Start, Waited: waited})
 	}
@@ -32,7 +36,10 @@
 // NextCheck returns how long Next may be put off when nothing else happens; false means as
 // long as nothing changes.
 func (q *Queue) NextCheck() (time.Duration, bool) {
-	return checkPeriod, q.Waiting() > 0
+	if len(q.short) > 0 {
+		return shortCheck, true
+	}
+	return longCheck, len(q.long) > 0
 }
 
 // pick removes and returns the waiting item that starts next, or nil. Long work is sure of
@@ -77,12 +84,25 @@
 	if q.policy.Discipline == FirstCome {
 		return true
 	}
-	if it.long && q.runningLong >= q.longLimit(slots) {
+	if it.long && !q.longMayStart(now, it, slots) {
 		return false
 	}
 	return q.keyFree(it, q.keyHardLimit())
 }
 
+// longMayStart reports whether long work may take one more of the slots: one is its own, others
+// only after it has waited.
+func (q *Queue) longMayStart(now time.Duration, it *item, slots int) bool {
+	if q.runningLong == 0 {
+		return true
+	}
+	if q.runningLong >= q.longLimit(slots) {
+		return false
+	}
+	patience := time.Duration(q.policy.LongPatience * float64(it.expected))
+	return now-it.arrived >= patience
+}
+
 // keyFree reports whether the item's key holds fewer slots than limit, and no other item that
 // must be alone is in the item's way.
 func (q *Queue) keyFree(it *item, limit int) bool {
@@ -187,44 +207,8 @@
 	if it.Deadline != 0 && now+it.expected > it.Deadline {
 		return outcome.ReasonShed
 	}
-	if !it.long && now-it.arrived > q.delay.allowed(now, q.short) {
+	if !it.long && now-it.arrived > q.allowedDelay() {
 		return outcome.ReasonShed
 	}
 	return ""
 }
-
-// delayGauge tells overload from a short burst by the least queue delay within an interval,
-// as CoDel does.
-type delayGauge struct {
-	target   time.Duration
-	interval time.Duration
-	// until is the end of the current interval.
-	until      time.Duration
-	least      time.Duration
-	seen       bool
-	overloaded bool
-}
-
-// observe takes the delay of one started item into account.
-func (g *delayGauge) observe(now, waited time.Duration) {
-	if now >= g.until {
-		g.overloaded = g.seen && g.least > g.target
-		g.until = now + g.interval
-		g.seen = false
-	}
-	if !g.seen || waited < g.least {
-		g.least = waited
-		g.seen = true
-	}
-}
-
-// allowed returns the delay that short work may have now.
-func (g *delayGauge) allowed(now time.Duration, waiting []*item) time.Duration {
-	if len(waiting) == 0 {
-		g.overloaded = false
-	}
-	if g.overloaded && now < g.until+g.interval {
-		return g.target
-	}
-	return g.interval
-}
--- a/node/owner/faults_test.go
+++ b/node/owner/faults_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -312,17 +311,17 @@
 	return s.owner.Serve(s.t.Context(), q, &answerSink{})
 }
 
-// TestUnreachableTargetIsNotRun dials an address where nobody listens.
+// TestUnreachableTargetIsNotRun sends to a target that listens no more.
 func TestUnreachableTargetIsNotRun(t *testing.T) {
 	s := newStand(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener.Close()
-	s.fake.server.Close()
+	s.fake.server.Listener.Close()
+	s.fake.server.CloseClientConnections()
+	eventually(t, "connections closed", func() bool { return s.link.OpenConns() == 0 })
 	result, _ := s.serve(booking(ulid.Make(), 1))
 	if result.Outcome != outcome.NotRun {
 		t.Errorf("got %v %v", result.Outcome, result.Reason)
 	}
+	eventually(t, "target absent", func() bool { return s.owner.Report().State == plane.TargetAbsent })
+	result, _ = s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonTargetAbsent)
 }
--- a/node/owner/owner_test.go
+++ b/node/owner/owner_test.go
@@ -178,7 +178,6 @@
 		t.Fatal(err)
 	}
 	cfg := DefaultConfig(1, s.clock, logger)
-	cfg.Admission.Warmup = 0
 	if s.owner, err = New(cfg, s.link); err != nil {
 		t.Fatal(err)
 	}
