--- a/node/owner/owner_test.go
+++ b/node/owner/owner_test.go
@@ -68,7 +68,7 @@
 		work(w, r)
 	})
 	f.server = httptest.NewServer(mux)
-	t.Cleanup(f.server.Close)
+	t.Cleanup(func() { f.server.CloseClientConnections(); f.server.Close() })
 	f.setWork(func(w http.ResponseWriter, r *http.Request) {
 		f.ran(r)
 		_, _ = io.WriteString(w, "done "+r.URL.Path)
