Stop the HTTP library from sending a request again by itself

A poisonous lookup crashed the target twice with one send: the transport replays idempotent requests on a broken pooled connection, unseen by the quarantine and the retry budget (TestPoisonousRequest: second crash not counted). The proof of a send now ends the call when a second connection is picked after bytes were given to the first.

A request waited until its deadline for a grant that the target could not be told (5.0 s seen in TestUnreachableTargetIsNotRun); it now waits 300 ms and ends as not run.

--- a/node/owner/faults_test.go
+++ b/node/owner/faults_test.go
@@ -317,9 +317,10 @@
 	s.fake.server.Listener.Close()
 	s.fake.server.CloseClientConnections()
 	eventually(t, "connections closed", func() bool { return s.link.OpenConns() == 0 })
+	began := time.Now()
 	result, _ := s.serve(booking(ulid.Make(), 1))
-	if result.Outcome != outcome.NotRun {
-		t.Errorf("got %v %v", result.Outcome, result.Reason)
+	if took := time.Since(began); result.Outcome != outcome.NotRun || took > 2*time.Second {
+		t.Errorf("got %v %v after %v", result.Outcome, result.Reason, took)
 	}
 	eventually(t, "target absent", func() bool { return s.owner.Report().State == plane.TargetAbsent })
 	result, _ = s.serve(booking(ulid.Make(), 1))
--- a/node/owner/grants.go
+++ b/node/owner/grants.go
@@ -15,6 +15,8 @@
 	grantTimeout = 500 * time.Millisecond
 	// grantRetry is the wait before grants are sent again after a failure.
 	grantRetry = 50 * time.Millisecond
+	// grantWait is how long a request waits for the target to learn of its grant.
+	grantWait = 300 * time.Millisecond
 	// grantSlack is the longest exchange whose grants are left as they are. A slower one may
 	// have lengthened them at the target, so they are sent again with what remains.
 	grantSlack = 100 * time.Millisecond
--- /dev/null
+++ b/node/owner/rules_test.go
@@ -0,0 +1,370 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/quarantine"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+	"github.com/auburnrelay/auburnrelay/node/target"
+)
+
+var onlySlice = bookings.SliceOf("any")
+
+func TestRefusalsBeforeAnyWork(t *testing.T) {
+	s := newStand(t)
+	noID := booking(ulid.ULID{}, 1)
+	shared := booking(ulid.Make(), 1)
+	shared.Range = manuals
+	elsewhere := booking(ulid.Make(), 1)
+	elsewhere.Slice.Index = 7
+	late := booking(ulid.Make(), 1)
+	late.Deadline = time.Now().Add(-time.Millisecond)
+	ahead := ulid.MustNew(ulid.Timestamp(time.Now().Add(time.Minute)), ulid.DefaultEntropy())
+	cases := map[outcome.Reason]*plane.Request{
+		outcome.ReasonMissingID:     noID,
+		outcome.ReasonSharedService: shared,
+		outcome.ReasonNotOwner:      elsewhere,
+		outcome.ReasonDeadline:      late,
+		outcome.ReasonIDAhead:       booking(ahead, 1),
+	}
+	for reason, request := range cases {
+		result, _ := s.serve(request)
+		expect(t, result, outcome.NotRun, reason)
+		if s.fake.executed(request.ID) != 0 {
+			t.Errorf("%s: ran", reason)
+		}
+	}
+}
+
+// TestDuplicateWaitsForTheFirst sends one id twice at a time: it runs once, and both get the
+// answer.
+func TestDuplicateWaitsForTheFirst(t *testing.T) {
+	s := newStand(t)
+	id := ulid.Make()
+	release := make(chan struct{})
+	s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
+		s.fake.ran(r)
+		<-release
+		_, _ = io.WriteString(w, "once")
+	})
+	bodies := make(chan string, 2)
+	send := func(attempt uint64) {
+		result, sink := s.serve(booking(id, attempt))
+		bodies <- result.Outcome.String() + " " + sink.body.String()
+	}
+	go send(1)
+	eventually(t, "first runs", func() bool { return s.fake.executed(id) == 1 })
+	go send(2)
+	close(release)
+	for range 2 {
+		if got := <-bodies; got != "answered once" {
+			t.Errorf("got %q", got)
+		}
+	}
+	if n := s.fake.executed(id); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestPauseBeforeTheSend stops the process between the check of the lease and the first byte to
+// the target: the connection asks again, and nothing is sent.
+func TestPauseBeforeTheSend(t *testing.T) {
+	s := newStand(t)
+	s.serve(lookup(manuals, "warm"))
+	asked := 0
+	request := booking(ulid.Make(), 1)
+	call := target.Call{Request: request, ID: request.ID.String(), Remaining: func() time.Duration {
+		if asked++; asked == 1 {
+			return time.Second
+		}
+		return -time.Second
+	}}
+	ending := s.link.Call(t.Context(), call, &answerSink{})
+	if ending.Outcome != outcome.NotRun || ending.Reason != outcome.ReasonLeaseLapsed {
+		t.Errorf("got %v %v", ending.Outcome, ending.Reason)
+	}
+	if n := s.fake.executed(request.ID); n != 0 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestDrainWaitsForWhatRuns checks that a slice is handed over only when nothing of it runs or
+// may be running.
+func TestDrainWaitsForWhatRuns(t *testing.T) {
+	s := newStand(t)
+	release := make(chan struct{})
+	s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
+		s.fake.ran(r)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	id := ulid.Make()
+	results := make(chan plane.Result, 1)
+	go func() {
+		result, _ := s.serve(booking(id, 1))
+		results <- result
+	}()
+	eventually(t, "work runs", func() bool { return s.fake.executed(id) == 1 })
+	drained := make(chan struct{})
+	s.owner.Drain(onlySlice, func([]byte) { close(drained) })
+	result, _ := s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonMoving)
+	select {
+	case <-drained:
+		t.Error("drained while a request ran")
+	default:
+	}
+	close(release)
+	expect(t, <-results, outcome.Answered, "")
+	<-drained
+	result, _ = s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonNotOwner)
+	eventually(t, "grant revoked", func() bool {
+		s.fake.mu.Lock()
+		defer s.fake.mu.Unlock()
+		return len(s.fake.grants) == 0
+	})
+}
+
+// TestDoubtHoldsTheSlice leaves a call in doubt on the target: the slice is reported and does
+// not drain before the target says what became of the call, or is gone.
+func TestDoubtHoldsTheSlice(t *testing.T) {
+	ways := map[string]func(s *stand){
+		"target says finished":  func(s *stand) { s.fake.setCancels("finished") },
+		"target says cancelled": func(s *stand) { s.fake.setCancels("cancelled") },
+		"target restarts":       func(s *stand) { s.announce(2, false) },
+	}
+	for name, resolve := range ways {
+		t.Run(name, func(t *testing.T) {
+			s := newStand(t)
+			s.fake.setWork(func(w http.ResponseWriter, r *http.Request) { s.fake.ran(r); hangUp(w) })
+			id := ulid.Make()
+			result, _ := s.serve(booking(id, 1))
+			expect(t, result, outcome.Unknown, outcome.ReasonTargetLost)
+			if got := s.owner.Unresolved(); len(got) != 1 || got[0] != onlySlice {
+				t.Errorf("unresolved %v", got)
+			}
+			drained := make(chan struct{})
+			s.owner.Drain(onlySlice, func([]byte) { close(drained) })
+			select {
+			case <-drained:
+				t.Error("drained with a call in doubt")
+			case <-time.After(50 * time.Millisecond):
+			}
+			resolve(s)
+			select {
+			case <-drained:
+			case <-time.After(pollLimit):
+				t.Error("not drained after the doubt was resolved")
+			}
+			if got := s.owner.Unresolved(); len(got) != 0 {
+				t.Errorf("unresolved %v", got)
+			}
+		})
+	}
+}
+
+// TestLateProofFreesTheID lets the target say late that a call in doubt never started: the
+// resend may run.
+func TestLateProofFreesTheID(t *testing.T) {
+	s := newStand(t)
+	normal := s.fake.work
+	s.fake.setWork(func(w http.ResponseWriter, _ *http.Request) { hangUp(w) })
+	id := ulid.Make()
+	result, _ := s.serve(booking(id, 1))
+	expect(t, result, outcome.Unknown, outcome.ReasonTargetLost)
+	s.fake.setWork(normal)
+	s.fake.setCancels("cancelled")
+	eventually(t, "doubt resolved", func() bool { return len(s.owner.Unresolved()) == 0 })
+	result, _ = s.serve(booking(id, 2))
+	expect(t, result, outcome.Answered, "")
+	if n := s.fake.executed(id); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestRestartedTargetIsToldItsGrants checks that nothing is sent to a new process before it
+// knows the fences.
+func TestRestartedTargetIsToldItsGrants(t *testing.T) {
+	s := newStand(t)
+	s.fake.mu.Lock()
+	clear(s.fake.grants)
+	s.fake.grantsDown = true
+	s.fake.mu.Unlock()
+	s.announce(2, true)
+	s.waitReady(2)
+	result, _ := s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonTargetUnreachable)
+	s.fake.mu.Lock()
+	s.fake.grantsDown = false
+	s.fake.mu.Unlock()
+	eventually(t, "answered again", func() bool {
+		result, _ := s.serve(booking(ulid.Make(), 1))
+		return result.Outcome == outcome.Answered
+	})
+	s.fake.mu.Lock()
+	defer s.fake.mu.Unlock()
+	if got := s.fake.grants[onlySlice.String()]; got != "1.1" {
+		t.Errorf("target knows fence %q", got)
+	}
+}
+
+type sharedChanges struct {
+	mu      sync.Mutex
+	changes []quarantine.Change
+}
+
+func (c *sharedChanges) Share(changes []quarantine.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changes = append(c.changes, changes...)
+}
+
+// TestPoisonousRequest crashes a target twice with one request that its caller sends again. It
+// is then refused here and, after the cell's entries were merged, on another node; a neighbour
+// in the same slots is cleared once it ends well.
+func TestPoisonousRequest(t *testing.T) {
+	s := newStand(t)
+	shared := &sharedChanges{}
+	s.owner.cfg.Sharer = shared
+	const poison, neighbour = "poison", "neighbour"
+	incarnation := uint64(1)
+	crash := func(also bool) {
+		started := make(chan struct{}, 2)
+		s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
+			started <- struct{}{}
+			<-r.Context().Done()
+		})
+		var wait sync.WaitGroup
+		wait.Go(func() { s.serve(lookup(bookings, poison)) })
+		<-started
+		if also {
+			wait.Go(func() { s.serve(lookup(bookings, neighbour)) })
+			<-started
+		}
+		s.fake.server.CloseClientConnections()
+		wait.Wait()
+		incarnation++
+		s.announce(incarnation, true)
+		s.waitReady(incarnation)
+	}
+	crash(true)
+	if got := len(s.owner.Quarantine()); got != 2 {
+		t.Fatalf("%d suspects after the first crash, want 2", got)
+	}
+	s.fake.setWork(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") })
+	eventually(t, "neighbour served", func() bool {
+		result, _ := s.serve(lookup(bookings, neighbour))
+		return result.Outcome == outcome.Answered
+	})
+	if got := len(s.owner.Quarantine()); got != 1 {
+		t.Errorf("%d suspects after the neighbour ended well, want 1", got)
+	}
+	crash(false)
+	result, _ := s.serve(lookup(bookings, poison))
+	expect(t, result, outcome.NotRun, outcome.ReasonQuarantined)
+	if result.RetryAfter <= 0 {
+		t.Error("no time given for the end of the ban")
+	}
+	next := newStand(t)
+	entries := quarantine.DefaultPolicy().Fold(time.Now(), nil, shared.changes)
+	next.owner.MergeQuarantine(entries)
+	result, _ = next.serve(lookup(bookings, poison))
+	expect(t, result, outcome.NotRun, outcome.ReasonQuarantined)
+	result, _ = next.serve(lookup(bookings, neighbour))
+	expect(t, result, outcome.Answered, "")
+}
+
+// TestAnswersStayWithTheirRequests mixes answers that come late, crossed, cut and whole: what a
+// caller gets as answered is always the whole answer to its own request.
+func TestAnswersStayWithTheirRequests(t *testing.T) {
+	s := newStand(t)
+	const requests, bodyBytes = 300, 40_000
+	s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := strconv.Atoi(r.URL.Query().Get("n"))
+		body := strings.Repeat(r.URL.Query().Get("n")+" ", bodyBytes)
+		switch n % 6 {
+		case 1:
+			time.Sleep(30 * time.Millisecond)
+		case 2:
+			w.Header().Set(target.HeaderRequestID, ulid.Make().String())
+		case 3:
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			body = body[:len(body)/2]
+		case 4:
+			w.Header().Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
+		}
+		_, _ = io.WriteString(w, body)
+	})
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	ends := map[outcome.Outcome]int{}
+	workers := make(chan struct{}, 12)
+	for n := range requests {
+		workers <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-workers }()
+			request := lookup(manuals, "key")
+			request.ID = ulid.Make()
+			request.Query = fmt.Sprint("n=", n)
+			if n%6 == 1 {
+				request.Deadline = time.Now().Add(15 * time.Millisecond)
+			}
+			sink := &answerSink{}
+			result := s.owner.Serve(context.Background(), request, sink)
+			want := strings.Repeat(strconv.Itoa(n)+" ", bodyBytes)
+			if result.Outcome == outcome.Answered && sink.body.String() != want {
+				t.Errorf("request %d: got another answer, %d bytes", n, sink.body.Len())
+			}
+			mu.Lock()
+			ends[result.Outcome]++
+			mu.Unlock()
+		})
+	}
+	wait.Wait()
+	if ends[outcome.Answered] < requests/3 || ends[outcome.Unknown] < requests/3 {
+		t.Errorf("ends %v", ends)
+	}
+}
+
+// TestReportsWork checks the load that the control side sees.
+func TestReportsWork(t *testing.T) {
+	s := newStand(t)
+	s.fake.setWork(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	for i := range 20 {
+		key := "hot"
+		if i%4 == 0 {
+			key = fmt.Sprint("cold", i)
+		}
+		s.serve(lookup(bookings, key))
+	}
+	loads := s.owner.SliceLoads()
+	if len(loads) != 1 || loads[0].Slice != onlySlice || loads[0].Requests != 20 || loads[0].WorkMillis < 100 {
+		t.Fatalf("loads %+v", loads)
+	}
+	if loads[0].HotKey != "hot" || loads[0].HotShare < 500 {
+		t.Errorf("hot key %q with %d", loads[0].HotKey, loads[0].HotShare)
+	}
+	if report := s.owner.Report(); report.Utilization == 0 || report.Slots != 6 || !report.ChecksFences {
+		t.Errorf("report %+v", report)
+	}
+	if again := s.owner.SliceLoads(); len(again) != 0 {
+		t.Errorf("loads were not reset: %+v", again)
+	}
+	s.owner.End([]keyspace.SliceID{onlySlice}, "test")
+}
--- a/node/owner/serve.go
+++ b/node/owner/serve.go
@@ -257,7 +257,8 @@
 	return ending.End
 }
 
-// awaitGrant waits until the target knows the slice's fence.
+// awaitGrant waits until the target knows the slice's fence, but not for a target that cannot
+// be told: the request may be served elsewhere.
 func (r *run) awaitGrant(ctx context.Context) *outcome.End {
 	if r.slice == nil {
 		return nil
@@ -265,12 +266,8 @@
 	r.owner.mu.Lock()
 	known := r.slice.grant.known
 	r.owner.mu.Unlock()
-	select {
-	case <-known:
-	case <-ctx.Done():
-		return refused(contextReason(ctx))
-	case <-r.slice.closed:
-		return refused(r.slice.closeReason)
+	if end := r.waitKnown(ctx, known); end != nil {
+		return end
 	}
 	r.owner.mu.Lock()
 	defer r.owner.mu.Unlock()
@@ -281,6 +278,26 @@
 	return nil
 }
 
+func (r *run) waitKnown(ctx context.Context, known <-chan struct{}) *outcome.End {
+	select {
+	case <-known:
+		return nil
+	default:
+	}
+	timer := time.NewTimer(grantWait)
+	defer timer.Stop()
+	select {
+	case <-known:
+		return nil
+	case <-timer.C:
+		return refused(outcome.ReasonTargetUnreachable)
+	case <-ctx.Done():
+		return refused(contextReason(ctx))
+	case <-r.slice.closed:
+		return refused(r.slice.closeReason)
+	}
+}
+
 // call sends the request to the target.
 func (r *run) call(ctx context.Context) target.Ending {
 	o := r.owner
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -82,8 +82,10 @@
 	}
 	l.inFlight.Add(1)
 	defer l.inFlight.Add(-1)
-	proof := &sendProof{gate: func() bool { return call.Remaining() > 0 }}
-	request, err := call.build(httptrace.WithClientTrace(ctx, proof.trace()), info.Address, remaining)
+	sendCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	proof := &sendProof{gate: func() bool { return call.Remaining() > 0 }, stop: stop}
+	request, err := call.build(httptrace.WithClientTrace(sendCtx, proof.trace()), info.Address, remaining)
 	if err != nil {
 		return notRun(outcome.ReasonTargetRefused)
 	}
@@ -267,23 +269,5 @@
 		request.Header.Set(HeaderSlice, q.Slice.String())
 		request.Header.Set(HeaderFence, c.Fence.String())
 	}
-	if q.NonIdempotent {
-		preventReplay(request)
-	}
 	return request, nil
 }
-
-// preventReplay keeps the transport from sending the request a second time by itself.
-func preventReplay(request *http.Request) {
-	request.GetBody = nil
-	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		values, present := request.Header[name]
-		if !present {
-			continue
-		}
-		delete(request.Header, name)
-		// The transport replays requests that carry the canonical name; names of fields are
-		// not case-sensitive, so the target sees the same field.
-		request.Header[strings.ToLower(name)] = values
-	}
-}
--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -83,7 +83,10 @@
 // sendProof follows one call through the connections that the transport picks for it.
 type sendProof struct {
 	// gate tells whether the call may still be sent.
-	gate  func() bool
+	gate func() bool
+	// stop ends the call.
+	stop func()
+
 	mu    sync.Mutex
 	conn  *meteredConn
 	start int64
@@ -94,6 +97,9 @@
 	return &httptrace.ClientTrace{GotConn: p.gotConn}
 }
 
+// gotConn takes in the connection of a try. The transport would send an idempotent request a
+// second time by itself; that is stopped here, because whether to retry is not its to decide: a
+// request that crashed the target must not crash it again unseen.
 func (p *sendProof) gotConn(info httptrace.GotConnInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,6 +111,11 @@
 		p.dirty = true
 		return
 	}
+	if p.dirty {
+		conn.begin(func() bool { return false })
+		p.stop()
+		return
+	}
 	p.conn = conn
 	p.start = conn.begin(p.gate)
 }
