--- a/node/owner/drain_test.go
+++ b/node/owner/drain_test.go
@@ -13,7 +13,7 @@
 // TestRenewalDoesNotReopenADrainedSlice renews the lease of a slice after it was drained, as a
 // heartbeat's answer on the way does. Its next owner may serve by then.
 func TestRenewalDoesNotReopenADrainedSlice(t *testing.T) {
-	s := newStand(t, nil)
+	s := newStand(t)
 	drained := make(chan struct{})
 	s.owner.Drain(bookings.SliceOf("any"), func([]byte) { close(drained) })
 	<-drained
@@ -28,7 +28,7 @@
 // TestRenewalDoesNotReopenADrainingSlice renews the lease while a request still runs: the
 // request is finished, nothing new is admitted, and the drain ends.
 func TestRenewalDoesNotReopenADrainingSlice(t *testing.T) {
-	s := newStand(t, nil)
+	s := newStand(t)
 	release := make(chan struct{})
 	s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
 		s.fake.ran(r)
--- a/node/owner/owner_test.go
+++ b/node/owner/owner_test.go
@@ -101,6 +101,17 @@
 	return f.executions[id.String()]
 }
 
+// total counts all starts of work.
+func (f *fakeTarget) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, count := range f.executions {
+		n += count
+	}
+	return n
+}
+
 func (f *fakeTarget) putGrants(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Grants []struct{ Slice, Fence string }
