--- /dev/null
+++ b/core/admission/rules_test.go
@@ -0,0 +1,141 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// taught returns a queue with slots that knows the short class to take ten milliseconds.
+func taught(t *testing.T, policy Policy, slots int) *Queue {
+	t.Helper()
+	q, err := NewQueue(policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.SetSlots(slots, longAgo)
+	for id := range uint64(10) {
+		q.Offer(0, Work{ID: 1000 + id, Class: shortClass})
+		q.Finish(shortMean, 1000+id, true)
+	}
+	return q
+}
+
+func wantVerdict(t *testing.T, d Decision, verdict Verdict, reason outcome.Reason) {
+	t.Helper()
+	if d.Verdict != verdict || d.Reason != reason {
+		t.Errorf("work %d: got %d %q, want %d %q", d.ID, d.Verdict, d.Reason, verdict, reason)
+	}
+}
+
+func TestSuspectsRunApart(t *testing.T) {
+	q := taught(t, DefaultPolicy(), 6)
+	now := time.Second
+	wantVerdict(t, q.Offer(now, Work{ID: 1, Class: shortClass, Key: 1, Alone: true}), Start, "")
+	wantVerdict(t, q.Offer(now, Work{ID: 2, Class: shortClass, Key: 2, Alone: true}), Wait, "")
+	wantVerdict(t, q.Offer(now, Work{ID: 3, Class: shortClass, Key: 3}), Start, "")
+	if got := q.Next(now); len(got) != 0 {
+		t.Errorf("started %v beside another suspect", got)
+	}
+	q.Finish(now+shortMean, 1, true)
+	if got := q.Next(now + shortMean); len(got) != 1 || got[0].ID != 2 || got[0].Verdict != Start {
+		t.Errorf("got %v, want the second suspect", got)
+	}
+}
+
+func TestDeadlines(t *testing.T) {
+	q := taught(t, DefaultPolicy(), 1)
+	now := time.Second
+	wantVerdict(t, q.Offer(now, Work{ID: 1, Class: shortClass, Deadline: now}), Drop, outcome.ReasonDeadline)
+	wantVerdict(t, q.Offer(now, Work{ID: 2, Class: shortClass, Key: 2}), Start, "")
+	wantVerdict(t, q.Offer(now, Work{ID: 3, Class: shortClass, Key: 3, Deadline: now + shortMean/2}), Drop, outcome.ReasonShed)
+	wantVerdict(t, q.Offer(now, Work{ID: 4, Class: shortClass, Key: 4, Deadline: now + 4*shortMean}), Wait, "")
+	wantVerdict(t, q.Offer(now, Work{ID: 5, Class: shortClass, Key: 5, Deadline: now + 15*time.Millisecond}), Drop, outcome.ReasonShed)
+	later := q.Next(now + 4*shortMean)
+	if len(later) != 1 {
+		t.Fatalf("got %v", later)
+	}
+	wantVerdict(t, later[0], Drop, outcome.ReasonDeadline)
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	policy := DefaultPolicy()
+	policy.QueueLength = 8
+	q := taught(t, policy, 2)
+	now := time.Second
+	id := uint64(0)
+	offer := func(key uint64) Decision {
+		id++
+		return q.Offer(now, Work{ID: id, Class: shortClass, Key: key})
+	}
+	wantVerdict(t, offer(1), Start, "")
+	wantVerdict(t, offer(2), Start, "")
+	for range 4 {
+		wantVerdict(t, offer(1), Wait, "")
+	}
+	wantVerdict(t, offer(1), Drop, outcome.ReasonKeyShare)
+	for key := range uint64(4) {
+		wantVerdict(t, offer(10+key), Wait, "")
+	}
+	wantVerdict(t, offer(99), Drop, outcome.ReasonShed)
+	if q.Waiting() != 8 || q.Running() != 2 {
+		t.Errorf("%d wait, %d run", q.Waiting(), q.Running())
+	}
+	if !q.Abandon(3) || q.Abandon(3) || q.Waiting() != 7 {
+		t.Error("waiting work was not taken out once")
+	}
+}
+
+// TestSheddingTarget lets a target shed what is beyond two thirds of its announced slots. Each
+// slot too many may be tried about once in each pushback time.
+func TestSheddingTarget(t *testing.T) {
+	for _, p := range profiles {
+		with := runFewerSlots(p, DefaultPolicy(), 1)
+		policy := DefaultPolicy()
+		policy.Pushback = 0
+		without := runFewerSlots(p, policy, 1)
+		t.Logf("%s: %.4f of the work shed by the target, %.4f without pushback", p.name, with, without)
+		tooMany := float64(p.slots - p.slots*2/3)
+		bound := 2 * tooMany / DefaultPolicy().Pushback.Seconds() / p.capacity()
+		if with > bound {
+			t.Errorf("%s: %.4f of the work reached the target only to be shed", p.name, with)
+		}
+	}
+}
+
+func TestPolicyIsChecked(t *testing.T) {
+	changes := map[string]func(*Policy){
+		"long share":     func(p *Policy) { p.LongShare = 0 },
+		"long patience":  func(p *Policy) { p.LongPatience = -1 },
+		"long factor":    func(p *Policy) { p.LongFactor = 1 },
+		"queue length":   func(p *Policy) { p.QueueLength = 0 },
+		"key share":      func(p *Policy) { p.KeyShare = 1.5 },
+		"delay target":   func(p *Policy) { p.DelayTarget = 0 },
+		"delay interval": func(p *Policy) { p.DelayInterval = 1 },
+		"warm-up share":  func(p *Policy) { p.WarmupShare = 0 },
+		"pushback":       func(p *Policy) { p.Pushback = -1 },
+	}
+	for name, change := range changes {
+		policy := DefaultPolicy()
+		change(&policy)
+		if err := policy.Check(); !errors.Is(err, ErrPolicy) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	if err := BaselinePolicy().Check(); err != nil {
+		t.Errorf("baseline: %v", err)
+	}
+}
+
+func TestClassesAreBounded(t *testing.T) {
+	l := newLearner()
+	for i := range 5 * maxClasses {
+		l.observe(time.Duration(i), Class(i), time.Millisecond)
+	}
+	if len(l.classes) > maxClasses {
+		t.Errorf("%d classes are remembered, want at most %d", len(l.classes), maxClasses)
+	}
+}
