Keep the account in numbered, linked segments

Nodes seal counts into numbered reports and keep them until a segment that books them is in the store; each segment lists the last report booked of every process, so a report sent again to the same or another controller is booked once. Segments are created under the next number of the cell's month, so of two controllers one writes. Counts that died with a process are a gap that names the process, the last report and its time.

A month now ends with a segment that closes it.

--- /dev/null
+++ b/core/account/audit.go
@@ -0,0 +1,276 @@
+package account
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// FaultKind says what is wrong with a stored segment.
+type FaultKind string
+
+const (
+	// FaultChanged is a segment whose content is not what was written.
+	FaultChanged FaultKind = "changed"
+	// FaultMissing is a segment that is not in the store.
+	FaultMissing FaultKind = "missing"
+	// FaultDoubled is a segment that books again what another has booked.
+	FaultDoubled FaultKind = "doubled"
+	// FaultUnaccounted is a run of reports that no segment books and no gap names.
+	FaultUnaccounted FaultKind = "unaccounted"
+)
+
+// Fault is one thing wrong in a cell's account.
+type Fault struct {
+	Kind    FaultKind `json:"kind"`
+	Segment ID        `json:"segment"`
+	Detail  string    `json:"detail"`
+}
+
+// String returns the fault as one line of text.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s: segment %s: %s", f.Kind, f.Segment, f.Detail)
+}
+
+// MarkedGap is a gap with the segment that marks it.
+type MarkedGap struct {
+	Gap
+	Segment ID `json:"segment"`
+}
+
+// Row is the totals of one line with the segments that they come from.
+type Row struct {
+	Count
+	Segments []ID `json:"segments"`
+}
+
+// booking is the last report booked of a process and the segment that booked it.
+type booking struct {
+	last uint64
+	by   ID
+}
+
+// Audit checks the segments of one cell and adds up their counts. Add takes them in the
+// order of their keys.
+type Audit struct {
+	cell, month string
+	// expected is the number of the next segment.
+	expected uint64
+	// last is the segment before, nil if there is none or it cannot be read.
+	last   *Sealed
+	booked map[Process]booking
+	// trusting tells that bookings cannot be checked for continuity, because a segment
+	// before was missing or unreadable.
+	trusting bool
+	faults   []Fault
+	gaps     []MarkedGap
+	totals   map[Line]*Row
+}
+
+// NewAudit begins the audit of a cell's month. Previous is the segment that the month's
+// first one names, or nil if there is none or it is not to be checked.
+func NewAudit(cell, month string, previous *Sealed) *Audit {
+	a := &Audit{cell: cell, month: month, expected: 1, last: previous, booked: map[Process]booking{}, totals: map[Line]*Row{}}
+	a.trusting = previous == nil
+	if previous != nil {
+		a.adopt(previous)
+	}
+	return a
+}
+
+func (a *Audit) adopt(s *Sealed) {
+	for _, open := range s.Open {
+		a.booked[open.Process] = booking{last: open.Last, by: s.ID}
+	}
+}
+
+func (a *Audit) fail(kind FaultKind, number uint64, format string, args ...any) {
+	id := ID{Cell: a.cell, Month: a.month, Number: number}
+	a.faults = append(a.faults, Fault{Kind: kind, Segment: id, Detail: fmt.Sprintf(format, args...)})
+}
+
+// Add takes the value stored under the key of the segment with the number. It reports
+// whether the segment's counts were added.
+func (a *Audit) Add(number uint64, value []byte) bool {
+	a.skipTo(number)
+	a.expected = number + 1
+	s, err := Unseal(value)
+	if err != nil {
+		a.fail(FaultChanged, number, "%v", err)
+		a.lose()
+		return false
+	}
+	if own := (ID{Cell: a.cell, Month: a.month, Number: number}); s.ID != own {
+		a.fail(FaultDoubled, number, "its key holds a copy of segment %s", s.ID)
+		a.lose()
+		return false
+	}
+	a.checkLink(&s)
+	a.checkSpans(&s)
+	a.addCounts(&s)
+	a.last = &s
+	return true
+}
+
+// skipTo reports the segments before number that are not there.
+func (a *Audit) skipTo(number uint64) {
+	for ; a.expected < number; a.expected++ {
+		a.fail(FaultMissing, a.expected, "the store does not hold it")
+		a.lose()
+	}
+}
+
+func (a *Audit) lose() {
+	a.last = nil
+	a.trusting = true
+}
+
+func (a *Audit) checkLink(s *Sealed) {
+	if a.last == nil || s.Previous != nil && *s.Previous == a.last.Link() {
+		return
+	}
+	kind := FaultChanged
+	if s.Previous != nil && s.Previous.ID != a.last.ID {
+		kind = FaultMissing
+	}
+	named := "none"
+	if s.Previous != nil {
+		named = fmt.Sprintf("%s with digest %.12s", s.Previous.ID, s.Previous.Digest)
+	}
+	a.faults = append(a.faults, Fault{Kind: kind, Segment: a.last.ID, Detail: fmt.Sprintf(
+		"its digest is %.12s, but segment %d follows %s", a.last.Digest, s.Number, named)})
+}
+
+func (a *Audit) checkSpans(s *Sealed) {
+	for _, gap := range s.Gaps {
+		a.gaps = append(a.gaps, MarkedGap{Gap: gap, Segment: s.ID})
+		if gap.Before > 0 {
+			a.booked[gap.Process] = booking{last: gap.Before - 1, by: s.ID}
+		}
+	}
+	for _, span := range s.Spans {
+		a.checkSpan(s, span)
+		a.booked[span.Process] = booking{last: span.Last, by: s.ID}
+	}
+	a.trusting = false
+}
+
+func (a *Audit) checkSpan(s *Sealed, span Span) {
+	before, known := a.booked[span.Process]
+	switch {
+	case known && span.First <= before.last:
+		a.fail(FaultDoubled, s.Number, "reports %d to %d of %s are booked by segment %s too",
+			span.First, min(span.Last, before.last), span.Node, before.by)
+	case span.First > before.last+1 && !a.trusting:
+		a.fail(FaultUnaccounted, s.Number, "reports %d to %d of %s are booked nowhere",
+			before.last+1, span.First-1, span.Node)
+	}
+}
+
+func (a *Audit) addCounts(s *Sealed) {
+	for _, count := range s.Counts {
+		row, known := a.totals[count.Line]
+		if !known {
+			row = &Row{Count: Count{Line: count.Line}}
+			a.totals[count.Line] = row
+		}
+		row.Merge(count.Totals)
+		row.Segments = append(row.Segments, s.ID)
+	}
+}
+
+// End checks the month's end against the link of the next month's first segment, or of
+// any later one.
+func (a *Audit) End(next Link) {
+	switch {
+	case next.ID.Month != a.month:
+		return
+	case a.expected <= next.ID.Number:
+		a.skipTo(next.ID.Number + 1)
+	case a.expected > next.ID.Number+1:
+		a.fail(FaultChanged, next.ID.Number+1, "the next month follows segment %d", next.ID.Number)
+	case a.last != nil && a.last.Link() != next:
+		a.fail(FaultChanged, next.ID.Number, "its digest is %.12s, but the next month follows %.12s", a.last.Digest, next.Digest)
+	case a.last != nil && !a.last.Closes:
+		a.fail(FaultChanged, next.ID.Number, "the next month follows it, but it does not close its month")
+	}
+}
+
+// Segments returns the number of the month's last segment.
+func (a *Audit) Segments() uint64 { return a.expected - 1 }
+
+// Last returns the last segment added, or nil if it was faulty.
+func (a *Audit) Last() *Sealed { return a.last }
+
+// Faults returns what is wrong, in the order of the segments.
+func (a *Audit) Faults() []Fault { return a.faults }
+
+// Gaps returns the gaps that were marked and not closed by a later report.
+func (a *Audit) Gaps() []MarkedGap {
+	var open []MarkedGap
+	for _, gap := range a.gaps {
+		if gap.Before > 0 || a.booked[gap.Process].last <= gap.After {
+			open = append(open, gap)
+		}
+	}
+	return open
+}
+
+// Rows returns the totals by line.
+func (a *Audit) Rows() []Row {
+	rows := make([]Row, 0, len(a.totals))
+	for _, row := range a.totals {
+		rows = append(rows, *row)
+	}
+	slices.SortFunc(rows, func(x, y Row) int { return compareLines(x.Line, y.Line) })
+	return rows
+}
+
+// MergeRows adds up the rows of several cells.
+func MergeRows(cells ...[]Row) []Row {
+	merged := map[Line]*Row{}
+	for _, rows := range cells {
+		for _, row := range rows {
+			into, known := merged[row.Line]
+			if !known {
+				into = &Row{Count: Count{Line: row.Line}}
+				merged[row.Line] = into
+			}
+			into.Merge(row.Totals)
+			into.Segments = append(into.Segments, row.Segments...)
+		}
+	}
+	all := Audit{totals: merged}
+	return all.Rows()
+}
+
+// DescribeSegments returns the segments in short form, such as "alfold/1-3,5".
+func DescribeSegments(ids []ID) string {
+	var parts []string
+	for start := 0; start < len(ids); {
+		end := start + 1
+		for end < len(ids) && ids[end].Cell == ids[start].Cell {
+			end++
+		}
+		parts = append(parts, ids[start].Cell+"/"+describeNumbers(ids[start:end]))
+		start = end
+	}
+	return strings.Join(parts, " ")
+}
+
+func describeNumbers(ids []ID) string {
+	var parts []string
+	for start := 0; start < len(ids); {
+		end := start
+		for end+1 < len(ids) && ids[end+1].Number == ids[end].Number+1 {
+			end++
+		}
+		part := fmt.Sprint(ids[start].Number)
+		if end > start {
+			part = fmt.Sprintf("%d-%d", ids[start].Number, ids[end].Number)
+		}
+		parts = append(parts, part)
+		start = end + 1
+	}
+	return strings.Join(parts, ",")
+}
