--- /dev/null
+++ b/core/outcome/badrequest.go
@@ -0,0 +1,4 @@
+package outcome
+
+// ReasonBadRequest means that the request breaks the interface and never runs as it is.
+const ReasonBadRequest Reason = "bad-request"
--- /dev/null
+++ b/node/forward/forward_test.go
@@ -0,0 +1,265 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+	relayv1 "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
+)
+
+const cluster = "test"
+
+// fakeRouter knows one owner for every key.
+type fakeRouter struct {
+	self, owner plane.Peer
+	kind        keyspace.Kind
+}
+
+func (f *fakeRouter) Locate(service, _ string) (plane.Route, error) {
+	if service != "booking" {
+		return plane.Route{}, keyspace.ErrUnknownService
+	}
+	return plane.Route{Owner: f.owner, Range: keyspace.Range{Service: service, Kind: f.kind, Slices: 1}}, nil
+}
+func (f *fakeRouter) Learn(keyspace.SliceID, plane.Peer) {}
+func (f *fakeRouter) Self() plane.Peer                   { return f.self }
+func (f *fakeRouter) Changed() <-chan struct{}           { return nil }
+
+// fakeOwner counts the requests it starts and answers them as the function says.
+type fakeOwner struct {
+	ran   int
+	serve func(ctx context.Context, r *plane.Request, sink plane.Sink) plane.Result
+}
+
+func (f *fakeOwner) Serve(ctx context.Context, r *plane.Request, sink plane.Sink) plane.Result {
+	f.ran++
+	return f.serve(ctx, r, sink)
+}
+
+func echoBody(_ context.Context, r *plane.Request, sink plane.Sink) plane.Result {
+	_ = sink.Head(plane.Head{Status: 201, Target: "vm-1", Fence: fence.Fence{Epoch: 1, Seq: 2}, Length: int64(len(r.Body))})
+	_ = sink.Write(r.Body)
+	return plane.Result{Outcome: outcome.Answered}
+}
+
+// memorySink keeps an answer.
+type memorySink struct {
+	head plane.Head
+	body bytes.Buffer
+	fail error
+}
+
+func (m *memorySink) Head(head plane.Head) error { m.head = head; return m.fail }
+func (m *memorySink) Write(chunk []byte) error   { m.body.Write(chunk); return m.fail }
+
+type fixture struct {
+	router *fakeRouter
+	owner  *fakeOwner
+	server *grpc.Server
+	client *Client
+	peer   plane.Peer
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := plane.Peer{Name: "vm-1", Incarnation: 7, Address: listener.Addr().String()}
+	f := &fixture{
+		router: &fakeRouter{self: peer, owner: peer, kind: keyspace.Keyed},
+		owner:  &fakeOwner{serve: echoBody},
+		server: grpc.NewServer(),
+		client: NewClient(cluster, NewPool(4)),
+		peer:   peer,
+	}
+	NewServer(cluster, f.router, f.owner, Limits{BodyBytes: 1 << 20}, slog.New(slog.DiscardHandler)).Register(f.server)
+	go func() { _ = f.server.Serve(listener) }()
+	t.Cleanup(f.server.Stop)
+	t.Cleanup(f.client.pool.Close)
+	return f
+}
+
+func request(body []byte) *plane.Request {
+	return &plane.Request{
+		Service: "booking", Key: "k", Method: "POST", Attempt: 3, NonIdempotent: true,
+		Body: body, Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+func TestAnswersOfEverySizeArriveWhole(t *testing.T) {
+	for _, size := range []int{0, 1, ChunkBytes - 1, ChunkBytes, ChunkBytes + 1, 10*ChunkBytes + 3} {
+		f := newFixture(t)
+		sink := &memorySink{}
+		body := bytes.Repeat([]byte("x"), size)
+		reply := f.client.Forward(context.Background(), f.peer, 0, request(body), sink)
+		if reply.Result.Outcome != outcome.Answered || !bytes.Equal(sink.body.Bytes(), body) || sink.head.Status != 201 {
+			t.Errorf("size %d: %+v, %d bytes", size, reply, sink.body.Len())
+		}
+		if sink.head.Fence != (fence.Fence{Epoch: 1, Seq: 2}) {
+			t.Errorf("size %d: fence %v", size, sink.head.Fence)
+		}
+	}
+}
+
+// TestFaults puts a fault at each point of a forwarded request's way.
+func TestFaults(t *testing.T) {
+	other := plane.Peer{Name: "vm-2", Incarnation: 9, Address: "127.0.0.1:1"}
+	cases := []struct {
+		name     string
+		arrange  func(f *fixture, r *plane.Request, sink *memorySink)
+		hops     uint32
+		outcome  outcome.Outcome
+		reason   outcome.Reason
+		redirect string
+		ran      int
+		started  bool
+	}{
+		{name: "peer not listening", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.peer.Address = "127.0.0.1:1" },
+			outcome: outcome.NotRun, reason: outcome.ReasonPeerUnreachable},
+		{name: "peer restarted", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.peer.Incarnation++ },
+			outcome: outcome.NotRun, reason: outcome.ReasonPeerIdentity},
+		{name: "address taken by another node", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.peer.Name = "vm-3" },
+			outcome: outcome.NotRun, reason: outcome.ReasonPeerIdentity},
+		{name: "another cluster", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.client.cluster = "other" },
+			outcome: outcome.NotRun, reason: outcome.ReasonPeerIdentity},
+		{name: "owner is another node", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.router.owner = other },
+			outcome: outcome.NotRun, reason: outcome.ReasonNotOwner, redirect: "vm-2"},
+		{name: "redirect of a redirected request", hops: 1,
+			arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.router.owner = other },
+			outcome: outcome.NotRun, reason: outcome.ReasonHops},
+		{name: "no owner", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) { f.router.owner = plane.Peer{} },
+			outcome: outcome.NotRun, reason: outcome.ReasonNoOwner},
+		{name: "unknown service", arrange: func(_ *fixture, r *plane.Request, _ *memorySink) { r.Service = "none" },
+			outcome: outcome.NotRun, reason: outcome.ReasonNoOwner},
+		{name: "owner refuses", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) {
+			f.owner.serve = func(context.Context, *plane.Request, plane.Sink) plane.Result {
+				return plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonShed}
+			}
+		}, outcome: outcome.NotRun, reason: outcome.ReasonShed, ran: 1},
+		{name: "peer lost before the answer", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) {
+			f.owner.serve = func(context.Context, *plane.Request, plane.Sink) plane.Result {
+				f.server.Stop()
+				return plane.Result{Outcome: outcome.Answered}
+			}
+		}, outcome: outcome.Unknown, reason: outcome.ReasonPeerLost, ran: 1},
+		{name: "answer cut by the owner", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) {
+			f.owner.serve = func(_ context.Context, _ *plane.Request, sink plane.Sink) plane.Result {
+				_ = sink.Head(plane.Head{Status: 200, Length: -1})
+				_ = sink.Write([]byte("half"))
+				return plane.Result{Outcome: outcome.Unknown, Reason: outcome.ReasonTruncated}
+			}
+		}, outcome: outcome.Unknown, reason: outcome.ReasonTruncated, ran: 1, started: true},
+		{name: "small answer cut by the owner", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) {
+			f.owner.serve = func(_ context.Context, _ *plane.Request, sink plane.Sink) plane.Result {
+				_ = sink.Head(plane.Head{Status: 200, Length: 10})
+				_ = sink.Write([]byte("half"))
+				return plane.Result{Outcome: outcome.Unknown, Reason: outcome.ReasonTruncated}
+			}
+		}, outcome: outcome.Unknown, reason: outcome.ReasonTruncated, ran: 1},
+		{name: "refusal claimed after the answer began", arrange: func(f *fixture, _ *plane.Request, _ *memorySink) {
+			f.owner.serve = func(_ context.Context, _ *plane.Request, sink plane.Sink) plane.Result {
+				_ = sink.Head(plane.Head{Status: 200, Length: -1})
+				return plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonShed}
+			}
+		}, outcome: outcome.Unknown, reason: outcome.ReasonTruncated, ran: 1, started: true},
+		{name: "deadline passes at the owner", arrange: func(f *fixture, r *plane.Request, _ *memorySink) {
+			r.Deadline = time.Now().Add(100 * time.Millisecond)
+			f.owner.serve = func(ctx context.Context, _ *plane.Request, _ plane.Sink) plane.Result {
+				<-ctx.Done()
+				return plane.Result{Outcome: outcome.Unknown, Reason: outcome.ReasonDeadline}
+			}
+		}, outcome: outcome.Unknown, reason: outcome.ReasonDeadline, ran: 1},
+		{name: "caller gone", arrange: func(_ *fixture, _ *plane.Request, sink *memorySink) { sink.fail = io.ErrClosedPipe },
+			outcome: outcome.Unknown, reason: outcome.ReasonCancelled, ran: 1, started: true},
+		{name: "body above the limit", arrange: func(_ *fixture, r *plane.Request, _ *memorySink) { r.Body = make([]byte, 2<<20) },
+			outcome: outcome.NotRun, reason: outcome.ReasonBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			r := request([]byte("body"))
+			sink := &memorySink{}
+			c.arrange(f, r, sink)
+			reply := f.client.Forward(context.Background(), f.peer, c.hops, r, sink)
+			if reply.Result.Outcome != c.outcome || reply.Result.Reason != c.reason || reply.Started != c.started {
+				t.Errorf("got %v %q started=%v", reply.Result.Outcome, reply.Result.Reason, reply.Started)
+			}
+			if c.redirect != "" && (reply.Redirect == nil || reply.Redirect.Name != c.redirect) {
+				t.Errorf("redirect: %+v", reply.Redirect)
+			}
+			if f.owner.ran != c.ran {
+				t.Errorf("the owner started %d requests, want %d", f.owner.ran, c.ran)
+			}
+		})
+	}
+}
+
+// TestCutBodyStartsNothing ends a stream before the frame that completes the request.
+func TestCutBodyStartsNothing(t *testing.T) {
+	f := newFixture(t)
+	conn, release, err := f.client.pool.Acquire(f.peer.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	stream, err := relayv1.NewRelayServiceClient(conn).Forward(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := toWireHead(cluster, f.peer, 0, request(make([]byte, 100)))
+	_ = stream.Send(&relayv1.ForwardRequest{Frame: &relayv1.ForwardRequest_Head{Head: head}})
+	_ = stream.Send(&relayv1.ForwardRequest{Frame: &relayv1.ForwardRequest_Chunk{Chunk: make([]byte, 50)}})
+	_ = stream.CloseSend()
+	if _, err := stream.Recv(); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("a cut request ended with %v", err)
+	}
+	if f.owner.ran != 0 {
+		t.Error("the owner started a request whose body was cut")
+	}
+}
+
+// TestGarbageOnThePort sends bytes that are no gRPC; the server must go on serving.
+func TestGarbageOnThePort(t *testing.T) {
+	f := newFixture(t)
+	conn, err := net.Dial("tcp", f.peer.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n\x00\xff"))
+	_, _ = io.ReadAll(conn)
+	conn.Close()
+	reply := f.client.Forward(context.Background(), f.peer, 0, request(nil), &memorySink{})
+	if reply.Result.Outcome != outcome.Answered {
+		t.Errorf("after garbage: %+v", reply.Result)
+	}
+}
+
+func TestPoolIsCapped(t *testing.T) {
+	pool := NewPool(1)
+	defer pool.Close()
+	_, release, err := pool.Acquire("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := pool.Acquire("127.0.0.1:2"); !errors.Is(err, ErrPoolFull) {
+		t.Errorf("full pool: %v", err)
+	}
+	release()
+	if _, _, err := pool.Acquire("127.0.0.1:2"); err != nil || pool.Size() != 1 {
+		t.Errorf("idle connection not replaced: %v, %d", err, pool.Size())
+	}
+}
