--- /dev/null
+++ b/core/cell/guards_test.go
@@ -0,0 +1,65 @@
+package cell
+
+import (
+	"os"
+	"testing"
+)
+
+// guardSwitches names the safety rules that a test can switch off.
+var guardSwitches = map[string]func(*guards){
+	"date by request":           func(g *guards) { g.noDateByRequest = true },
+	"version move":              func(g *guards) { g.noVersionMove = true },
+	"new standby waits":         func(g *guards) { g.noStandbyWait = true },
+	"no promise in doubt":       func(g *guards) { g.promiseInDoubt = true },
+	"quiet time":                func(g *guards) { g.noQuiet = true },
+	"reported holders only":     func(g *guards) { g.grantUnreported = true },
+	"no old promise in doubt":   func(g *guards) { g.oldPromiseInDoubt = true },
+	"own lease in authority":    func(g *guards) { g.unboundOwnLease = true },
+	"refuse former epochs":      func(g *guards) { g.acceptFormer = true },
+	"incarnation":               func(g *guards) { g.noIncarnation = true },
+	"lease wait":                func(g *guards) { g.noLapseWait = true },
+	"non-checking target waits": func(g *guards) { g.moveNonChecking = true },
+	"release fence":             func(g *guards) { g.noReleaseFence = true },
+	"table before grant":        func(g *guards) { g.noTableWait = true },
+	"sheet only grows":          func(g *guards) { g.anySheet = true },
+	"other cells agree":         func(g *guards) { g.anyCells = true },
+	"solo silence":              func(g *guards) { g.soloNoSilence = true },
+	"read before part":          func(g *guards) { g.startUnread = true },
+	"fence only grows":          func(g *guards) { g.anyFence = true },
+	"promise after gone":        func(g *guards) { g.noGonePromise = true },
+	"lease of one target":       func(g *guards) { g.anyTarget = true },
+	"dropped range rests":       func(g *guards) { g.grantDropped = true },
+	"grant to listed nodes":     func(g *guards) { g.grantUnlisted = true },
+	"activate checking targets": func(g *guards) { g.activateAny = true },
+}
+
+// TestWalkWithout reports how many seeds find a missing guard; WALK_GUARD names it, "all"
+// takes each in turn. It is a measurement and checks nothing.
+func TestWalkWithout(t *testing.T) {
+	wanted := os.Getenv("WALK_GUARD")
+	if wanted == "" {
+		t.Skip("WALK_GUARD names no guard")
+	}
+	seeds := envInt("WALK_SEEDS", 300)
+	for _, name := range sortedNames(guardSwitches) {
+		if name != wanted && wanted != "all" {
+			continue
+		}
+		found, first := 0, ""
+		for seed := range uint64(seeds) {
+			w := walkWorld(seed + 1)
+			guardSwitches[name](&w.guards)
+			for _, n := range w.nodes {
+				n.m.guards = w.guards
+			}
+			w.run(walkCalmAt)
+			if len(w.bad) > 0 {
+				found++
+				if first == "" {
+					first = w.bad[0]
+				}
+			}
+		}
+		t.Logf("%-26s %4d of %d seeds; %.100s", name, found, seeds, first)
+	}
+}
