Show for every guard of the machine that a test goes red without it

Scripts in testdata/guard play one interleaving each; they are played again with their guard switched off and must then end in a violation. Found while writing them: a silent standby was named again at once; the end of the quiet time did not ask owners for a heartbeat.

--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -71,6 +71,9 @@
 	askAt     time.Duration
 	retryAt   time.Duration
 	resigned  bool
+	// silentStandby was replaced at silentAt; it is not named again before it is heard.
+	silentStandby Node
+	silentAt      time.Duration
 
 	// quiet lasts until every lease of the former controller is known or has lapsed.
 	quiet      bool
@@ -262,6 +265,7 @@
 	case current.IsZero() && !best.IsZero():
 		m.nameStandby(best, "the cell has no standby")
 	case !current.IsZero() && (left < m.timing.Promise/2 || m.standbyReplaced()):
+		c.silentStandby, c.silentAt = current, m.now
 		m.nameStandby(best, "the standby does not promise")
 	case m.standbyLeaving():
 		m.nameStandby(best, "the standby leaves")
@@ -290,6 +294,9 @@
 		if name == m.self.Name || n.Node == m.rec.Standby || n.leaving || !m.live(n) {
 			continue
 		}
+		if n.Node == m.ctl.silentStandby && n.seen <= m.ctl.silentAt {
+			continue
+		}
 		rank := 0
 		if n.FailureDomain != m.cfg.Self.FailureDomain {
 			rank = 1
@@ -323,10 +330,17 @@
 	}
 	switch {
 	case c.expected != nil && len(c.expected) == 0:
-		c.quiet = false
-		m.decide("quiet time ends", keyspace.SliceID{}, m.self.Name, "every node has reported")
+		m.endQuiet("every node has reported")
 	case m.now > c.quietUntil:
-		c.quiet = false
-		m.decide("quiet time ends", keyspace.SliceID{}, m.self.Name, "former leases have lapsed")
+		m.endQuiet("former leases have lapsed")
+	}
+}
+
+// endQuiet lets grants follow the record again and asks their owners for a heartbeat.
+func (m *Machine) endQuiet(reason string) {
+	m.ctl.quiet = false
+	m.decide("quiet time ends", keyspace.SliceID{}, m.self.Name, reason)
+	for _, name := range sortedNames(m.ctl.routes.owned) {
+		m.pokeName(name)
 	}
 }
--- a/core/cell/guards_test.go
+++ b/core/cell/guards_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"os"
 	"testing"
 )
@@ -56,7 +57,7 @@
 			if len(w.bad) > 0 {
 				found++
 				if first == "" {
-					first = w.bad[0]
+					first = fmt.Sprintf("seed %d: %s", seed+1, w.bad[0])
 				}
 			}
 		}
--- /dev/null
+++ b/core/cell/holder_test.go
@@ -0,0 +1,159 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// lone is a machine whose controller is played by the test.
+type lone struct {
+	m     *Machine
+	now   time.Duration
+	beats []Heartbeat
+	held  map[keyspace.SliceID]Adoption
+	drain int
+}
+
+var testSlice = keyspace.SliceID{Range: 7, Index: 1}
+
+func newLone(off func(*guards), readRecord bool) *lone {
+	l := &lone{now: time.Hour, held: make(map[keyspace.SliceID]Adoption)}
+	self := Member{Node: Node{"b", 1}, Target: Target{State: TargetReady, Incarnation: 1, ChecksFences: true}}
+	l.m = New(Config{Cell: "alfold", Self: self, Timing: DefaultTiming()})
+	off(&l.m.guards)
+	if readRecord {
+		r := &Record{Cell: "alfold", Epoch: 1, Controller: Node{"a", 1}, Nodes: []Member{{Node: Node{"a", 1}}}}
+		l.step(RecordRead{Status: ReadFound, Version: 1, Record: r})
+		l.step(Tick{})
+	}
+	return l
+}
+
+func (l *lone) step(e Event) {
+	l.now += 10 * time.Millisecond
+	for _, effect := range l.m.Step(l.now, e) {
+		switch f := effect.(type) {
+		case SendHeartbeat:
+			l.beats = append(l.beats, f.Heartbeat)
+		case AdoptLeases:
+			for _, a := range f.Leases {
+				l.held[a.Slice] = a
+			}
+		case EndLeases:
+			for _, id := range f.Slices {
+				delete(l.held, id)
+			}
+		case DrainSlice:
+			l.drain++
+		}
+	}
+}
+
+// grant answers the last heartbeat with a whole set of one grant.
+func (l *lone) grant(f fence.Fence, change func(*Answer)) {
+	a := Answer{
+		Number: l.beats[len(l.beats)-1].Number, Accepted: true, Epoch: 1, For: 2 * time.Second,
+		Set: f.Seq, Full: true, Grants: []Grant{{Slice: testSlice, Fence: f}},
+	}
+	change(&a)
+	l.step(HeartbeatAnswered{Answer: a})
+}
+
+func (l *lone) beat() {
+	count := len(l.beats)
+	for range 100 {
+		if l.step(Tick{}); len(l.beats) > count {
+			return
+		}
+	}
+}
+
+// holderCases say what a holder refuses; each holds the slice wrongly without its guard.
+var holderCases = map[string]func(l *lone){
+	"release fence": func(l *lone) {
+		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(a *Answer) { a.Drain = []keyspace.SliceID{testSlice} })
+		delete(l.held, testSlice)
+		l.step(SliceDrained{Slice: testSlice})
+		l.beat()
+		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
+	},
+	"table before grant": func(l *lone) {
+		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(a *Answer) { a.Needs = TableVersion{Epoch: 1, Number: 9} })
+	},
+	"refuse former epochs": func(l *lone) {
+		l.step(Poked{Poke: Poke{Epoch: 2, Controller: Member{Node: Node{"c", 1}}}})
+		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
+	},
+	"fence only grows": func(l *lone) {
+		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
+		l.beat()
+		l.grant(fence.Fence{Epoch: 1, Seq: 4}, func(*Answer) {})
+		if l.held[testSlice].Fence.Seq == 5 {
+			delete(l.held, testSlice)
+		}
+	},
+}
+
+func TestHolderRefuses(t *testing.T) {
+	for name, play := range holderCases {
+		with := newLone(func(*guards) {}, true)
+		play(with)
+		if len(with.held) > 0 {
+			t.Errorf("%s: held %v", name, with.held)
+		}
+		without := newLone(guardSwitches[name], true)
+		play(without)
+		if len(without.held) == 0 {
+			t.Errorf("%s: refused without the guard too, so the case proves nothing", name)
+		}
+	}
+}
+
+// TestStartWithoutRecord checks that a node takes no part before it has read the record.
+func TestStartWithoutRecord(t *testing.T) {
+	play := func(off func(*guards)) int {
+		l := newLone(off, false)
+		l.step(Tick{})
+		l.step(RecordRead{Status: ReadFailed})
+		l.step(Poked{Poke: Poke{Epoch: 1, Controller: Member{Node: Node{"a", 1}}}})
+		l.step(Tick{})
+		return len(l.beats)
+	}
+	if n := play(func(*guards) {}); n != 0 {
+		t.Errorf("%d heartbeats before the record was read", n)
+	}
+	if play(guardSwitches["read before part"]) == 0 {
+		t.Error("no heartbeat without the guard either, so the case proves nothing")
+	}
+}
+
+// TestDatesFromSending checks that a lease counts from before its heartbeat was sent.
+func TestDatesFromSending(t *testing.T) {
+	l := newLone(func(*guards) {}, true)
+	sent := l.now
+	l.now += 700 * time.Millisecond
+	l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
+	if got, want := l.held[testSlice].Until, sent+DefaultTiming().Lease; got != want {
+		t.Errorf("lease until %v, want %v", got, want)
+	}
+}
+
+// TestEveryGuardIsProved checks that each switch has a script or a case.
+func TestEveryGuardIsProved(t *testing.T) {
+	proved := map[string]bool{"read before part": true}
+	for name := range holderCases {
+		proved[name] = true
+	}
+	for _, path := range guardScripts(t) {
+		_, guard := lines(t, path)
+		proved[guard] = true
+	}
+	for _, name := range sortedNames(guardSwitches) {
+		if !proved[name] {
+			t.Errorf("no test goes red without the guard %q", name)
+		}
+	}
+}
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -89,11 +89,15 @@
 		return false, ""
 	}
 	n := c.members[r.owner]
+	silence := m.timing.wait(m.timing.Lease)
+	if m.guards.noLapseWait {
+		silence = silentHeartbeats * m.timing.Heartbeat
+	}
 	reason := ""
 	switch {
 	case n == nil && m.now-c.since > graceForPrevious:
 		reason = "its owner did not report to the epoch"
-	case n != nil && m.now-n.seen > m.timing.wait(m.timing.Lease):
+	case n != nil && m.now-n.seen > silence:
 		reason = "its owner is silent and the lease has lapsed"
 	case n != nil && m.withheld(n):
 		reason = "its owner's target is frozen and the lease has lapsed"
--- a/core/cell/standby.go
+++ b/core/cell/standby.go
@@ -127,17 +127,19 @@
 }
 
 // bothLost reports whether no authority can be left: the controller's process has ended, or
-// the standby's has and the last promise that it can have given has lapsed since.
+// the standby's has and the last promise that it can have given has lapsed since. A write
+// that named another standby meanwhile has moved the version, so that a takeover on the
+// version known here fails.
 func (m *Machine) bothLost() bool {
 	grace := m.timing.wait(m.timing.Promise)
 	if m.rec.Standby.IsZero() || m.isStandby() || !m.silent() {
 		return false
 	}
-	if at, ok := m.gone[m.rec.Controller]; ok && m.now-at > grace && m.now-m.versionSeen > grace {
+	if at, ok := m.gone[m.rec.Controller]; ok && m.now-at > grace {
 		return true
 	}
 	at, ok := m.gone[m.rec.Standby]
-	return ok && (m.now-at > grace || m.guards.noGonePromise) && m.now-m.versionSeen > grace
+	return ok && (m.now-at > grace || m.guards.noGonePromise)
 }
 
 // takeOver writes this node into the record as the controller of a new epoch.
--- a/core/cell/walk_test.go
+++ b/core/cell/walk_test.go
@@ -17,7 +17,7 @@
 	w := newWorld(seed)
 	w.chaos = chaos{
 		lose: 0.02, late: 0.03, duplicate: 0.02, slowWrite: 0.08, loseWrite: 0.05, staleSheet: 0.1, pauseAtWrite: 0.03,
-		longRuns: true,
+		runFor: time.Second + time.Duration(w.rng.IntN(5000))*time.Millisecond,
 	}
 	cells := []string{"alfold"}
 	if seed%3 == 0 {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -42,7 +42,10 @@
 	lose, late, duplicate    float64
 	slowWrite, loseWrite     float64
 	staleSheet, pauseAtWrite float64
-	longRuns                 bool
+	// runFor is how long requests run on targets, zero for none.
+	runFor time.Duration
+	// drainFor is how long a drain takes at least.
+	drainFor time.Duration
 }
 
 // simLease is the newest holder of a slice, by the real time line.
@@ -347,7 +350,7 @@
 
 // startRuns lets the node's target execute a request of each slice now and then.
 func (w *world) startRuns(n *simNode) {
-	if !n.targetAlive || !w.chaos.longRuns {
+	if !n.targetAlive || w.chaos.runFor == 0 {
 		return
 	}
 	for id, h := range w.holders {
@@ -355,7 +358,7 @@
 			continue
 		}
 		if r, busy := w.running[id]; !busy || r.until <= w.t {
-			w.running[id] = simRun{node: n.name, target: n.target.Incarnation, checks: n.target.ChecksFences, until: w.t + 2*time.Second, started: w.t}
+			w.running[id] = simRun{node: n.name, target: n.target.Incarnation, checks: n.target.ChecksFences, until: w.t + w.chaos.runFor, started: w.t}
 		}
 	}
 }
@@ -369,7 +372,7 @@
 		w.after(20*time.Millisecond, func() { w.drainLoop(n, inc, id) })
 		return
 	}
-	w.after(10*time.Millisecond, func() {
+	w.after(max(w.chaos.drainFor, 10*time.Millisecond), func() {
 		w.step(n, inc, SliceDrained{Slice: id, Window: []byte("window")})
 	})
 }
