--- a/standin/probe/probe.go
+++ b/standin/probe/probe.go
@@ -80,6 +80,11 @@
 }
 
 func (p *Prober) loop(ctx context.Context, offset int, key string) {
+	select {
+	case <-time.After(p.config.Every * time.Duration(offset) / time.Duration(len(p.config.Keys))):
+	case <-ctx.Done():
+		return
+	}
 	ticker := time.NewTicker(p.config.Every)
 	defer ticker.Stop()
 	for n := offset; ; n++ {
@@ -100,6 +105,7 @@
 		panic(err) // entries and keys come from the program itself
 	}
 	request.Header.Set("Auburnrelay-Request-Id", ulid.Make().String())
+	request.Header.Set("Auburnrelay-Send", "1")
 	request.Header.Set("Auburnrelay-Deadline-Ms", strconv.FormatInt(p.config.Deadline.Milliseconds(), 10))
 	resp, err := p.http.Do(request)
 	if err != nil {
