Serve slices that a move or a leave had released when the store goes down

Cause, found by the process-level scenes with the store down while keys were being filled (go test ./faults -run 'TestStoreFaults': 'store down, then a plain VM killed' 6.60 s, 'store down, then a node restarted' 8.28 s unserved, bound 3 s): - with the store known to be down the controller still began planned moves; a slice that it had taken back once was released a second time and then skipped as already activated; - a slice taken back to an owner that had just died was skipped for the same reason, so its successor never got it; - a slice released by a node that leaves was neither taken back nor lost, so nobody served it until the store returned. Now no planned move begins while the store is known to be down, an activation may follow an activation whose owner is lost or has released it, and what a node that is not fit released goes to the successor, with its window of ids. Safety is as before: each activation waits for a release, or for the lease of a silent owner, takes a new number, and goes only to the owner or the successor that the record names.

--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -182,6 +182,8 @@
 		m.readRecord()
 	case m.ctl != nil && m.now >= m.ctl.authority && m.now-m.readAt >= m.timing.Heartbeat:
 		m.readRecord()
+	case m.ctl != nil && m.storeDown && m.now-m.readAt >= m.timing.Heartbeat:
+		m.readRecord()
 	case m.absent && m.write == nil:
 		m.createRecord()
 	}
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -59,7 +59,10 @@
 	if m.write != nil || m.now < c.retryAt || c.resigned {
 		return
 	}
-	m.planMoves()
+	if !m.storeDown {
+		// A slice that is drained for a move would stay unserved.
+		m.planMoves()
+	}
 	if next, touched := m.draft(); next != nil {
 		m.put(writePlan, m.version, next, touched)
 		m.write.dropped = droppedRanges(m.rec, next)
@@ -164,27 +167,32 @@
 	return m.live(n) && !n.leaving && n.Target.State == TargetReady
 }
 
-// activate gives the slices of lost owners to the successors that the record names, while
-// the store cannot be written. The record is brought up to date when it can.
+// activate finds owners for slices that nobody serves while the store cannot be written. The
+// record is brought up to date when it can.
 func (m *Machine) activate() {
 	c := m.ctl
 	activated := false
 	for _, id := range sortedSlices(c.routes.slices) {
 		r := c.routes.slices[id]
-		if _, done := c.active[id]; done || r.owner == "" || m.dropping(id.Range) {
+		if r.owner == "" || m.dropping(id.Range) {
 			continue
 		}
-		if m.takeBack(id, r) {
-			activated = true
+		released := m.released(id, r)
+		to, reason := m.outageOwner(id, r, released)
+		if to == "" {
 			continue
 		}
-		lost, reason := m.ownerLost(id, r)
-		to := m.successorOf(id)
-		if !lost || to == "" {
-			continue
+		act := activation{owner: to, seq: m.nextSeq()}
+		c.active[id] = act
+		if released {
+			c.windows[id] = handover{seq: act.seq, window: c.freed[id].window}
+			delete(c.moving, id)
 		}
-		c.active[id] = activation{owner: to, seq: m.nextSeq()}
-		m.decide("activate successor", id, to, reason+"; the store cannot be written")
+		what := "activate successor"
+		if to == r.owner {
+			what = "take slice back"
+		}
+		m.decide(what, id, to, reason+"; the store cannot be written")
 		activated = true
 	}
 	if activated {
@@ -192,25 +200,30 @@
 	}
 }
 
-// takeBack gives a slice that was released for a move back to its owner in the record, as
-// the move cannot be written. Nobody holds it, and a next controller waits for that owner's
-// report.
-func (m *Machine) takeBack(id keyspace.SliceID, r route) bool {
-	c := m.ctl
-	freed, released := c.freed[id]
-	if !released || !lower(m.rec.fence(r.seq), freed.fence) {
-		return false
+// released reports whether the slice was given back under its present assignment or a later
+// one, so that nobody holds it.
+func (m *Machine) released(id keyspace.SliceID, r route) bool {
+	freed, ok := m.ctl.freed[id]
+	return ok && lower(m.rec.fence(r.seq), freed.fence)
+}
+
+// outageOwner returns the node that is to serve a slice while the store cannot be written, and
+// why; empty leaves it as it is. What was released goes back to its owner, as the move cannot
+// be written; if that is not fit, and for a lost owner, the successor that the record names
+// takes it. A next controller waits for the reports of both.
+func (m *Machine) outageOwner(id keyspace.SliceID, r route, released bool) (to, reason string) {
+	if n := m.ctl.members[r.owner]; released && n != nil && m.fit(n) && m.listed(r.owner) {
+		return r.owner, "released for a move"
 	}
-	n := c.members[r.owner]
-	if n == nil || !m.fit(n) || !m.listed(r.owner) {
-		return false
+	lost, reason := m.ownerLost(id, r)
+	if released {
+		lost, reason = true, "released by its owner"
+	}
+	to = m.successorOf(id)
+	if !lost || to == r.owner {
+		return "", ""
 	}
-	act := activation{owner: r.owner, seq: m.nextSeq()}
-	c.active[id] = act
-	c.windows[id] = handover{seq: act.seq, window: freed.window}
-	delete(c.moving, id)
-	m.decide("take slice back", id, r.owner, "released for a move; the store cannot be written")
-	return true
+	return to, reason
 }
 
 // successorOf returns the node to activate for a slice: the successor of the record or, if
