Tell the controller where a target can be probed

Cause: the link's report left the target's address out, so the controller of a cell whose targets check no fences could never see that a lost VM's target is gone and held its slices for good (go test ./faults -run 'TestUnchecked/unchecked:_VM_killed': 27.1 s unserved, not served again when the run ended; bound 3 s). Ruled out: the probe itself and the record, which carry the address. The node now reports it, but only if it is an address of its own VM: a loopback address would make another node probe its own VM and take a refusal for the end of this one. TestReportNamesTheAddress and TestTargetAddressForOthers; both red without.

--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -292,3 +292,20 @@
 		return served(t, all) == testSlices
 	})
 }
+
+// TestTargetAddressForOthers checks that other nodes learn where a target can be probed, and
+// only an address that means the same VM to them.
+func TestTargetAddressForOthers(t *testing.T) {
+	cases := map[string]string{
+		"10.0.0.7:7005":  "10.0.0.7:7005",
+		"127.0.0.1:7005": "",
+		"":               "",
+	}
+	for address, want := range cases {
+		holder := &fakeHolder{target: plane.TargetReport{State: plane.TargetReady, Address: address}}
+		c := &Control{cfg: Config{Self: plane.Peer{EntryAddress: "10.0.0.7:7001"}}, holder: holder}
+		if got := c.localTarget().Address; got != want {
+			t.Errorf("target at %q: others are told %q, want %q", address, got, want)
+		}
+	}
+}
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
@@ -50,7 +51,7 @@
 			if clock.Jumped(now, time.Now()) {
 				c.step(ctx, envelope{event: cell.ClockJumped{}})
 			}
-			report := cell.TargetReported{Target: targetOf(c.holder.Report())}
+			report := cell.TargetReported{Target: c.localTarget()}
 			if now-loadsAt >= loadInterval {
 				loadsAt = now
 				report.Loads = loadsOf(c.holder.SliceLoads())
@@ -62,6 +63,19 @@
 	}
 }
 
+// localTarget returns the state of the target. Its address is left out unless it is one of the
+// node's own VM as others reach it: another node that finds an address refused must not take
+// its own loopback for this VM.
+func (c *Control) localTarget() cell.Target {
+	report := c.holder.Report()
+	target, _, _ := net.SplitHostPort(report.Address)
+	entry, _, _ := net.SplitHostPort(c.cfg.Self.EntryAddress)
+	if target != entry {
+		report.Address = ""
+	}
+	return targetOf(report)
+}
+
 // step feeds the machine one event and what follows from it on this node.
 func (c *Control) step(ctx context.Context, e envelope) {
 	c.apply(ctx, e)
--- a/node/target/link.go
+++ b/node/target/link.go
@@ -187,6 +187,7 @@
 	return plane.TargetReport{
 		State:        info.State,
 		Incarnation:  info.Incarnation,
+		Address:      info.Address,
 		Slots:        uint32(info.Slots),
 		InFlight:     uint32(max(l.inFlight.Load(), 0)),
 		ChecksFences: info.ChecksFences,
--- a/node/target/target_test.go
+++ b/node/target/target_test.go
@@ -248,6 +248,15 @@
 	}
 }
 
+// TestReportNamesTheAddress checks that the report says where the target can be probed.
+func TestReportNamesTheAddress(t *testing.T) {
+	link := newLink(t)
+	announce(link, announcement(1, "127.0.0.1:1"))
+	if got := link.Report().Address; got != "127.0.0.1:1" {
+		t.Errorf("address %q", got)
+	}
+}
+
 func TestConfigIsChecked(t *testing.T) {
 	good := DefaultConfig("vm1", func() time.Duration { return 0 }, slog.New(slog.DiscardHandler))
 	changes := map[string]func(*Config){
