Count the former controller's leases from its known end

Cause: a standby that took over waited a lease from its takeover, although the controller was seen to have ended more than a second earlier and can have granted nothing since. The wait now counts from when the process was known to have ended: a lease that it answered before is dated by its holder from before that, and its own ended with its authority.

--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -121,7 +121,7 @@
 func (m *Machine) becomeController() {
 	c := &controller{
 		epoch: m.rec.Epoch, since: m.now, askAt: -time.Hour, authority: m.now,
-		quiet: !m.guards.noQuiet, quietUntil: m.now + m.timing.wait(m.timing.Lease),
+		quiet: !m.guards.noQuiet, quietUntil: m.formerLeasesEnd(),
 		asked:    make(map[uint64]time.Duration),
 		expected: make(map[string]bool),
 		members:  make(map[string]*memberState),
@@ -146,6 +146,16 @@
 	m.pokeAll()
 }
 
+// formerLeasesEnd returns when every lease of the former controller has lapsed: counted from
+// now or, if its process is known to have ended earlier, from when that was seen.
+func (m *Machine) formerLeasesEnd() time.Duration {
+	last := m.now
+	if at, ended := m.gone[m.rec.Previous]; ended {
+		last = min(last, at)
+	}
+	return last + m.timing.wait(m.timing.Lease)
+}
+
 // pokeAll asks every node of the record to report to this epoch.
 func (m *Machine) pokeAll() {
 	for _, n := range m.rec.Nodes {
