--- a/standin/faults/faults_test.go
+++ b/standin/faults/faults_test.go
@@ -1,127 +1,159 @@
 package faults
 
 import (
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
 	"github.com/auburnrelay/auburnrelay/standin/store"
 	"github.com/auburnrelay/auburnrelay/standin/target"
 )
 
-// servedAgainIn is the users' bound on the time that a key goes unserved after a loss.
-const servedAgainIn = 3 * time.Second
+// fault is one row of a table: what is hurt, how, for how long, and the longest time that a
+// key may go unserved.
+type fault struct {
+	name    string
+	options func(o *Options)
+	// hit names the VMs that the fault hits; the gaps are those of their keys.
+	hit    role
+	inject action
+	// last is how long the fault lasts before heal.
+	last time.Duration
+	heal action
+	// gap is the longest time that a key may go unserved.
+	gap time.Duration
+}
 
-// none says that a fault allows no gap above the bound on losses.
-const none = servedAgainIn
+// action does something to the VMs that a fault hits.
+type action func(t *testing.T, s *Scene, vms []string)
 
-// scene opens a scene of the cell's usual size.
-func scene(t *testing.T, change func(o *Options)) *Scene {
-	t.Helper()
-	o := Options{Bin: bin, Dir: sceneDir(t), VMs: 4}
-	if change != nil {
-		change(&o)
-	}
-	s, err := Open(o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
-	return s
+const (
+	// lasting is longer than every lease and promise.
+	lasting = 5 * time.Second
+	// longOutage is longer than several leases.
+	longOutage = 8 * time.Second
+)
+
+func unchecked(o *Options) { o.Unchecked = true }
+func cuts(o *Options)      { o.Cuts = true }
+
+// oneFault has the losses of one part: keys are served again within the users' bound.
+var oneFault = []fault{
+	{name: "plain VM killed", hit: plain, inject: killVM, gap: servedAgainIn},
+	{name: "controller VM killed", hit: controller, inject: killVM, gap: servedAgainIn},
+	{name: "standby VM killed", hit: standby, inject: killVM, gap: servedAgainIn},
+	{name: "node killed, target lives", hit: plain, inject: killNode, gap: servedAgainIn},
+	{name: "controller's node killed, target lives", hit: controller, inject: killNode, gap: servedAgainIn},
+	{name: "target killed, node lives", hit: plain, inject: killTarget, gap: servedAgainIn},
+	{name: "plain node paused", hit: plain, inject: pauseNode, last: lasting, heal: resumeNode, gap: servedAgainIn},
+	{name: "controller paused", hit: controller, inject: pauseNode, last: lasting, heal: resumeNode, gap: servedAgainIn},
+	{name: "standby paused", hit: standby, inject: pauseNode, last: lasting, heal: resumeNode, gap: servedAgainIn},
+	{name: "plain VM paused", hit: plain, inject: pauseVM, last: lasting, heal: resumeVM, gap: servedAgainIn},
+	{name: "controller VM paused", hit: controller, inject: pauseVM, last: lasting, heal: resumeVM, gap: servedAgainIn},
+	{name: "target frozen", hit: plain, inject: freezeTarget, last: lasting, heal: thawTarget, gap: servedAgainIn},
+	{name: "target paused", hit: plain, inject: pauseTarget, last: lasting, heal: resumeTarget, gap: servedAgainIn},
+	{name: "controller's target frozen", hit: controller, inject: freezeTarget, last: lasting, heal: thawTarget, gap: servedAgainIn},
+}
+
+// storeFaults has outages of the store, alone and with a loss. Owners serve on, and a loss
+// meanwhile is made good by the successors.
+var storeFaults = []fault{
+	{name: "store down", hit: nobody, inject: storeIs(store.FaultsMessage{Down: true}), last: longOutage, heal: healStore, gap: time.Second},
+	{name: "store slow", hit: nobody, inject: storeIs(store.FaultsMessage{DelayMS: 2000}), last: longOutage, heal: healStore, gap: servedAgainIn},
+	{name: "store down, then a plain VM killed", hit: plain, inject: both(storeIs(store.FaultsMessage{Down: true}), killVM),
+		last: longOutage, heal: healStore, gap: servedAgainIn},
+	{name: "store down, then a node restarted", hit: plain, inject: both(storeIs(store.FaultsMessage{Down: true}), restartNode),
+		last: longOutage, heal: healStore, gap: servedAgainIn},
+	{name: "store loses answers, then a plain VM killed", hit: plain,
+		inject: both(storeIs(store.FaultsMessage{LoseShare: 0.5}), killVM), last: lasting, heal: healStore, gap: 2 * servedAgainIn},
+	{name: "store loses answers, then the controller killed", hit: controller,
+		inject: both(storeIs(store.FaultsMessage{LoseShare: 0.5}), killVM), last: lasting, heal: healStore, gap: 2 * servedAgainIn},
+	{name: "writes delayed, then the controller killed", hit: controller,
+		inject: both(storeIs(store.FaultsMessage{DelayWritesMS: 1000}), killVM), last: lasting, heal: healStore, gap: lasting + servedAgainIn},
+	// A double fault: the leases lapse and nobody can be named before the store answers.
+	{name: "store down, then the controller killed", hit: controller,
+		inject: both(storeIs(store.FaultsMessage{Down: true}), killVM), last: longOutage, heal: healStore, gap: longOutage + servedAgainIn},
 }
 
-// keepDir names the variable with a folder in which settings and logs of scenes stay.
-const keepDir = "AUBURNRELAY_SCENES"
+// bothLost has the loss of controller and standby at once. By a crash the others see that they
+// are gone; by silence nobody may take over before one returns.
+var bothLost = []fault{
+	{name: "controller and standby killed", hit: controllerAndStandby, inject: killVM, gap: 2 * servedAgainIn},
+	{name: "controller and standby paused", hit: controllerAndStandby, inject: pauseNode, last: lasting, heal: resumeNode,
+		gap: lasting + servedAgainIn},
+}
 
-func sceneDir(t *testing.T) string {
-	root := os.Getenv(keepDir)
-	if root == "" {
-		return t.TempDir()
-	}
-	dir := filepath.Join(root, strings.ReplaceAll(t.Name(), "/", "-"))
-	must(t, os.MkdirAll(dir, 0o700))
-	return dir
+// uncheckedFaults hurt targets that accept any fence. A slice with a process that may still run
+// a request waits for its return.
+var uncheckedFaults = []fault{
+	{name: "unchecked: VM killed", options: unchecked, hit: plain, inject: killVM, gap: servedAgainIn},
+	{name: "unchecked: target killed", options: unchecked, hit: plain, inject: killTarget, gap: servedAgainIn},
+	{name: "unchecked: node killed, then restarted", options: unchecked, hit: plain, inject: killNode, last: lasting,
+		heal: startNode, gap: lasting + servedAgainIn},
+	{name: "unchecked: node paused", options: unchecked, hit: plain, inject: pauseNode, last: lasting, heal: resumeNode,
+		gap: lasting + servedAgainIn},
+	{name: "unchecked: target frozen", options: unchecked, hit: plain, inject: freezeTarget, last: lasting, heal: thawTarget,
+		gap: lasting + servedAgainIn},
+	{name: "unchecked: VM paused", options: unchecked, hit: plain, inject: pauseVM, last: lasting, heal: resumeVM,
+		gap: lasting + servedAgainIn},
 }
 
-func must(t *testing.T, err error) {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
+// cutFaults cut the ways between nodes, and between them and the store.
+var cutFaults = []fault{
+	{name: "plain node cut off", options: cuts, hit: plain, inject: cutOff, last: lasting, heal: healCuts, gap: servedAgainIn},
+	{name: "controller cut off from store and standby", options: cuts, hit: controller, inject: cutFromStoreAndStandby,
+		last: longOutage, heal: healCuts, gap: servedAgainIn},
+	{name: "controller cut off from all", options: cuts, hit: controller, inject: cutOff, last: lasting, heal: healCuts, gap: servedAgainIn},
+	{name: "failure domain with the controller cut off", options: cuts, hit: controllersDomain, inject: cutDomain,
+		last: lasting, heal: healCuts, gap: servedAgainIn},
+	{name: "failure domain with the controller killed", hit: controllersDomain, inject: killVM, gap: servedAgainIn},
+	{name: "failure domain with the controller killed, then the store down", hit: controllersDomain,
+		inject: both(killVM, wait(servedAgainIn), storeIs(store.FaultsMessage{Down: true})), last: lasting, heal: healStore,
+		gap: servedAgainIn},
 }
 
-// role names the node that a fault hits.
-type role func(t *testing.T, s *Scene) string
-
-func controller(t *testing.T, s *Scene) string {
-	record, err := s.Record()
-	must(t, err)
-	return record.Controller.Name
-}
-
-func standby(t *testing.T, s *Scene) string {
-	record, err := s.Record()
-	must(t, err)
-	return record.Standby.Name
-}
-
-func plain(t *testing.T, s *Scene) string {
-	name, err := s.Plain()
-	must(t, err)
-	return name
-}
-
-// TestOneFault plays one fault at a time under bookings. After each the keys are served
-// again in time, and the execution logs show sole ownership throughout.
-func TestOneFault(t *testing.T) {
-	storeDown := store.FaultsMessage{Down: true}
-	cases := []struct {
-		name   string
-		hit    role
-		inject func(t *testing.T, s *Scene, vm string)
-		// last is how long the fault lasts before heal.
-		last time.Duration
-		heal func(t *testing.T, s *Scene, vm string)
-		// gap is the longest time that a key may go unserved.
-		gap time.Duration
-	}{
-		{name: "plain VM killed", hit: plain, inject: killVM, gap: none},
-		{name: "controller VM killed", hit: controller, inject: killVM, gap: none},
-		{name: "standby VM killed", hit: standby, inject: killVM, gap: none},
-		{name: "node killed, target lives", hit: plain, inject: killNode, gap: none},
-		{name: "target killed, node lives", hit: plain, inject: killTarget, gap: none},
-		{name: "plain node paused", hit: plain, inject: pauseNode, last: 5 * time.Second, heal: resumeNode, gap: none},
-		{name: "controller paused", hit: controller, inject: pauseNode, last: 5 * time.Second, heal: resumeNode, gap: none},
-		{name: "target frozen", hit: plain, inject: freezeTarget, last: 5 * time.Second, heal: thawTarget, gap: none},
-		{name: "store down", hit: plain, inject: func(t *testing.T, s *Scene, _ string) { must(t, s.StoreFaults(storeDown)) },
-			last: 8 * time.Second, heal: healStore, gap: time.Second},
-		{name: "store loses answers", hit: plain, inject: func(t *testing.T, s *Scene, vm string) {
-			must(t, s.StoreFaults(store.FaultsMessage{LoseShare: 0.5}))
-			killVM(t, s, vm)
-		}, last: 5 * time.Second, heal: healStore, gap: 2 * servedAgainIn},
-		{name: "store down, then a plain VM killed", hit: plain, inject: func(t *testing.T, s *Scene, vm string) {
-			must(t, s.StoreFaults(storeDown))
-			killVM(t, s, vm)
-		}, last: 8 * time.Second, heal: healStore, gap: none},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			s := scene(t, nil)
-			vm := c.hit(t, s)
+func TestOneFault(t *testing.T)         { play(t, oneFault) }
+func TestStoreFaults(t *testing.T)      { play(t, storeFaults) }
+func TestBothLost(t *testing.T)         { play(t, bothLost) }
+func TestUncheckedTargets(t *testing.T) { play(t, uncheckedFaults) }
+func TestCuts(t *testing.T)             { play(t, cutFaults) }
+
+// sceneSlots bounds the scenes that run at a time.
+var sceneSlots = make(chan struct{}, 3)
+
+// play runs each row on a fleet of its own. After each the keys are served again in time, and
+// the execution logs show sole ownership throughout.
+func play(t *testing.T, rows []fault) {
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			sceneSlots <- struct{}{}
+			defer func() { <-sceneSlots }()
+			s := scene(t, row.options)
+			vms := row.hit(t, s)
+			keys := keysOf(s, vms)
+			t.Logf("before the fault: %+v %v", s.Probe.Counts(), s.Probe.Reasons())
 			began := time.Now()
-			c.inject(t, s, vm)
-			time.Sleep(max(c.last, servedAgainIn))
-			if c.heal != nil {
-				c.heal(t, s, vm)
+			row.inject(t, s, vms)
+			time.Sleep(max(row.last, servedAgainIn))
+			if row.heal != nil {
+				row.heal(t, s, vms)
 			}
 			settle(t, s)
-			report(t, s, began, c.gap)
+			report(t, s, began, row.gap, keys)
 		})
 	}
 }
 
+// keysOf returns the keys that the VMs' targets serve; all keys if no VM is named.
+func keysOf(s *Scene, vms []string) []string {
+	var keys []string
+	for _, vm := range vms {
+		keys = append(keys, s.Probe.KeysAt(vm)...)
+	}
+	return keys
+}
+
 // settle waits until every key is served again.
 func settle(t *testing.T, s *Scene) {
 	t.Helper()
@@ -130,31 +162,78 @@
 	}
 }
 
-// report prints what the probes saw and checks the longest gap and the execution logs.
-func report(t *testing.T, s *Scene, began time.Time, bound time.Duration) {
+// report prints what the probes saw and checks the longest gap and the execution logs. The
+// gaps of the keys that were hit go into the distribution.
+func report(t *testing.T, s *Scene, began time.Time, bound time.Duration, hit []string) {
 	t.Helper()
 	s.Probe.Stop()
 	gaps := s.Probe.Gaps(began)
-	t.Logf("gap p50 %v, max %v; %+v %v", gaps[len(gaps)/2].Round(time.Millisecond),
-		gaps[len(gaps)-1].Round(time.Millisecond), s.Probe.Counts(), s.Probe.Reasons())
-	if longest := gaps[len(gaps)-1]; longest > bound {
+	longest := gaps[len(gaps)-1]
+	hurt := s.Probe.Gaps(began, hit...)
+	note(t.Name(), hurt)
+	t.Logf("%d keys hit: gap p50 %v, max %v; all keys: max %v; %+v %v", len(hit), hurt[len(hurt)/2].Round(time.Millisecond),
+		hurt[len(hurt)-1].Round(time.Millisecond), longest.Round(time.Millisecond), s.Probe.Counts(), s.Probe.Reasons())
+	if longest > bound {
 		t.Errorf("a key went unserved for %v, allowed %v", longest, bound)
 	}
 	must(t, s.CheckLogs())
 }
 
-func killVM(_ *testing.T, s *Scene, vm string)     { s.Fleet.KillVM(vm) }
-func killNode(_ *testing.T, s *Scene, vm string)   { s.Fleet.Nodes[vm].Kill() }
-func killTarget(_ *testing.T, s *Scene, vm string) { s.Fleet.Targets[vm].Kill() }
-func pauseNode(t *testing.T, s *Scene, vm string)  { must(t, s.Fleet.Nodes[vm].Pause()) }
-func resumeNode(t *testing.T, s *Scene, vm string) { must(t, s.Fleet.Nodes[vm].Resume()) }
+// both does several things in turn.
+func both(actions ...action) action {
+	return func(t *testing.T, s *Scene, vms []string) {
+		for _, do := range actions {
+			do(t, s, vms)
+		}
+	}
+}
+
+// wait lets time pass between two faults.
+func wait(d time.Duration) action {
+	return func(*testing.T, *Scene, []string) { time.Sleep(d) }
+}
+
+// each does something to each VM in turn.
+func each(do func(s *Scene, vm string) error) action {
+	return func(t *testing.T, s *Scene, vms []string) {
+		for _, vm := range vms {
+			must(t, do(s, vm))
+		}
+	}
+}
+
+var (
+	killVM       = each(func(s *Scene, vm string) error { s.Fleet.KillVM(vm); return nil })
+	pauseVM      = each(func(s *Scene, vm string) error { return s.Fleet.PauseVM(vm) })
+	resumeVM     = each(func(s *Scene, vm string) error { return s.Fleet.ResumeVM(vm) })
+	startVM      = each(func(s *Scene, vm string) error { return s.Fleet.StartVM(vm) })
+	killNode     = each(func(s *Scene, vm string) error { s.Fleet.Nodes[vm].Kill(); return nil })
+	startNode    = each(func(s *Scene, vm string) error { return s.Fleet.StartNode(vm) })
+	pauseNode    = each(func(s *Scene, vm string) error { return s.Fleet.Nodes[vm].Pause() })
+	resumeNode   = each(func(s *Scene, vm string) error { return s.Fleet.Nodes[vm].Resume() })
+	killTarget   = each(func(s *Scene, vm string) error { s.Fleet.Targets[vm].Kill(); return nil })
+	pauseTarget  = each(func(s *Scene, vm string) error { return s.Fleet.Targets[vm].Pause() })
+	resumeTarget = each(func(s *Scene, vm string) error { return s.Fleet.Targets[vm].Resume() })
+	freezeTarget = each(func(s *Scene, vm string) error { return s.TargetFaults(vm, target.FaultsMessage{Frozen: true}) })
+	thawTarget   = each(func(s *Scene, vm string) error { return s.TargetFaults(vm, target.FaultsMessage{}) })
+	restartNode  = both(killNode, startNode)
+	healStore    = storeIs(store.FaultsMessage{})
+	cutOff       = each(func(s *Scene, vm string) error { return s.Cut(vm, append(s.Others(vm), fleet.StorePlaceName)...) })
+)
 
-func freezeTarget(t *testing.T, s *Scene, vm string) {
-	must(t, s.TargetFaults(vm, target.FaultsMessage{Frozen: true}))
+func healCuts(t *testing.T, s *Scene, _ []string) { must(t, s.HealCuts()) }
+
+func storeIs(faults store.FaultsMessage) action {
+	return func(t *testing.T, s *Scene, _ []string) { must(t, s.StoreFaults(faults)) }
 }
 
-func thawTarget(t *testing.T, s *Scene, vm string) {
-	must(t, s.TargetFaults(vm, target.FaultsMessage{}))
+func cutFromStoreAndStandby(t *testing.T, s *Scene, vms []string) {
+	must(t, s.Cut(vms[0], append(standby(t, s), fleet.StorePlaceName)...))
 }
 
-func healStore(t *testing.T, s *Scene, _ string) { must(t, s.StoreFaults(store.FaultsMessage{})) }
+// cutDomain cuts VMs off from all others and the store but not from one another.
+func cutDomain(t *testing.T, s *Scene, vms []string) {
+	for _, vm := range vms {
+		must(t, s.Cut(vm, append(s.Others(vms...), fleet.StorePlaceName)...))
+	}
+}
--- a/standin/faults/main_test.go
+++ b/standin/faults/main_test.go
@@ -21,6 +21,7 @@
 	code := 1
 	if build(dir) {
 		code = m.Run()
+		printDistribution()
 	}
 	os.RemoveAll(dir)
 	os.Exit(code)
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/standin/execlog"
 	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/link"
 	"github.com/auburnrelay/auburnrelay/standin/probe"
 	"github.com/auburnrelay/auburnrelay/standin/store"
 	"github.com/auburnrelay/auburnrelay/standin/target"
@@ -33,8 +35,13 @@
 	probeWait    = 5 * time.Second
 	settleLimit  = 20 * time.Second
 	adminTimeout = 2 * time.Second
+	// linkMbits is the rate between two regions; the scenes have one region.
+	linkMbits = 1000
 )
 
+// sliceCount is the number of slices that the sheet gives the keyed service.
+const sliceCount = 32
+
 const sheet = `service,kind,from,to,region,cell,targets,slices
 booking,keyed,,,alfold,,,32
 `
@@ -54,13 +61,25 @@
 	VMs int
 	// Unchecked makes the targets accept any fence.
 	Unchecked bool
+	// Cuts puts a relay between the nodes, and between them and the store, that can cut them
+	// off from one another.
+	Cuts bool
 	// Settings is TOML text added to each node's settings.
 	Settings string
 }
 
 // Open starts a fleet, applies a sheet and probes until every key is served.
 func Open(o Options) (*Scene, error) {
-	f, err := fleet.Start(fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings})
+	plan := fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings}
+	if o.Cuts {
+		plan.Network = &fleet.Network{
+			StorePlace:  link.Place{Region: Cell, FailureDomain: fleet.StorePlaceName},
+			DomainDelay: link.DefaultDomainDelay,
+			RegionMbits: linkMbits,
+			PerVM:       true,
+		}
+	}
+	f, err := fleet.Start(plan)
 	if err != nil {
 		return nil, err
 	}
@@ -113,14 +132,50 @@
 	return s.Settled()
 }
 
-// spread waits until every VM owns a slice.
+// spread waits until every VM owns at least half of its even share of the slices.
 func (s *Scene) spread() error {
 	return fleet.Await(settleLimit, func() bool {
 		record, err := s.Record()
-		return err == nil && record.owners() == len(s.Fleet.VMs)
+		return err == nil && record.least(s.Fleet.VMs) >= sliceCount/len(s.Fleet.VMs)/2
 	})
 }
 
+// Cut cuts the VM's node off from the places: names of VMs, or fleet.StorePlaceName.
+func (s *Scene) Cut(vm string, places ...string) error {
+	for _, place := range places {
+		if err := post(s.Fleet.LinkURL()+"/admin/cut", link.CutMessage{A: vm, B: place}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// HealCuts ends every cut.
+func (s *Scene) HealCuts() error { return post(s.Fleet.LinkURL()+"/admin/heal", link.CutMessage{}) }
+
+// Others returns the names of all VMs but the given ones.
+func (s *Scene) Others(names ...string) []string {
+	var others []string
+	for _, vm := range s.Fleet.VMs {
+		if !slices.Contains(names, vm.Name) {
+			others = append(others, vm.Name)
+		}
+	}
+	return others
+}
+
+// Domain returns the names of the VMs in the failure domain of the given one.
+func (s *Scene) Domain(name string) []string {
+	i := slices.IndexFunc(s.Fleet.VMs, func(vm fleet.VM) bool { return vm.Name == name })
+	var names []string
+	for _, vm := range s.Fleet.VMs {
+		if vm.FailureDomain == s.Fleet.VMs[i].FailureDomain {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
 // Settled waits until every key has been answered anew, and the record names a standby and
 // a successor for each slice if the cell has more than one node.
 func (s *Scene) Settled() error {
@@ -149,16 +204,32 @@
 	} `json:"ranges"`
 }
 
-// owners counts the VMs that own a slice.
-func (r Record) owners() int {
-	names := map[string]bool{}
+// least returns the fewest slices that one of the VMs owns.
+func (r Record) least(vms []fleet.VM) int {
+	counts := map[string]int{}
+	for _, rng := range r.Ranges {
+		for _, slice := range rng.Slices {
+			counts[slice.Owner]++
+		}
+	}
+	least := sliceCount
+	for _, vm := range vms {
+		least = min(least, counts[vm.Name])
+	}
+	return least
+}
+
+// ownedBy counts the slices of a VM.
+func (r Record) ownedBy(name string) int {
+	n := 0
 	for _, rng := range r.Ranges {
 		for _, slice := range rng.Slices {
-			names[slice.Owner] = true
+			if slice.Owner == name {
+				n++
+			}
 		}
 	}
-	delete(names, "")
-	return len(names)
+	return n
 }
 
 // complete reports whether the record names a standby, and an owner and a successor for
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -103,12 +104,15 @@
 	return f, nil
 }
 
+// networks counts the fleets of this process, so that no two take one network.
+var networks atomic.Int64
+
 // freeNetwork returns the first three numbers of a loopback network in which no other
 // fleet runs.
 func freeNetwork() (string, error) {
 	const tries = 200
-	for i := range tries {
-		n := os.Getpid() + i*97
+	for range tries {
+		n := os.Getpid() + int(networks.Add(1))*97
 		network := fmt.Sprintf("127.%d.%d.", 16+n%200, n/200%250)
 		l, err := net.Listen("tcp", network+"1:"+storePort)
 		if err == nil {
@@ -224,7 +228,7 @@
 
 %s
 `, vm.Name, vm.Region, vm.FailureDomain, vm.Cell, ip+":"+entryPort, ip+":"+peerPort, f.peerAddress(vm.Name),
-		ip+":"+localPort, ip+":"+adminPort, f.storeURLFrom(vm.Region), f.Settings)
+		ip+":"+localPort, ip+":"+adminPort, f.storeURLFrom(vm), f.Settings)
 }
 
 // ExecutionLog returns the path of the target's execution log.
@@ -291,6 +295,24 @@
 	}
 }
 
+// PauseVM stops the VM's node and target until ResumeVM, as a paused machine would.
+func (f *Fleet) PauseVM(name string) error {
+	return errors.CombineErrors(f.Nodes[name].Pause(), f.Targets[name].Pause())
+}
+
+// ResumeVM lets the node and target of a paused VM run on.
+func (f *Fleet) ResumeVM(name string) error {
+	return errors.CombineErrors(f.Targets[name].Resume(), f.Nodes[name].Resume())
+}
+
+// StartVM starts the node and the target of a VM that was killed.
+func (f *Fleet) StartVM(name string) error {
+	if err := f.StartNode(name); err != nil {
+		return err
+	}
+	return f.StartTarget(name)
+}
+
 // Stop stops everything gracefully: nodes, then targets, then the store. It returns the
 // first error.
 func (f *Fleet) Stop() error {
--- a/standin/fleet/link.go
+++ b/standin/fleet/link.go
@@ -30,8 +30,14 @@
 	RegionDelay time.Duration
 	// RegionMbits is the rate between two regions each way, in Mbit/s.
 	RegionMbits float64
+	// PerVM makes each VM a place of its own, named like the VM, and the store one named
+	// StorePlaceName, so that the ways between single VMs can be cut.
+	PerVM bool
 }
 
+// StorePlaceName is the place of the store in a network whose VMs are places of their own.
+const StorePlaceName = "store"
+
 // startLink starts the relay between the places of the plan, if it has any.
 func (f *Fleet) startLink() error {
 	if f.Network == nil {
@@ -62,21 +68,46 @@
 		RegionMbits:   f.Network.RegionMbits,
 	}
 	for _, vm := range f.VMs {
-		place := link.Place{Region: vm.Region, FailureDomain: vm.FailureDomain}
+		place := f.place(vm)
 		plan.Places[f.ips[vm.Name]] = place
 		plan.Routes = append(plan.Routes, link.Route{
 			Listen: f.peerAddress(vm.Name), To: f.ips[vm.Name] + ":" + peerPort, ToPlace: place,
 		})
 	}
-	for i, region := range f.regions() {
-		plan.Routes = append(plan.Routes, link.Route{
-			Listen:  f.network + "1:" + strconv.Itoa(linkStorePort+i),
+	plan.Routes = append(plan.Routes, f.storeRoutes()...)
+	return plan
+}
+
+// storeRoutes returns the ways to the store: one for each region or, if VMs are places of
+// their own, one for each VM.
+func (f *Fleet) storeRoutes() []link.Route {
+	var routes []link.Route
+	add := func(from, to link.Place) {
+		routes = append(routes, link.Route{
+			Listen:  f.network + "1:" + strconv.Itoa(linkStorePort+len(routes)),
 			To:      f.network + "1:" + storePort,
-			ToPlace: f.Network.StorePlace,
-			From:    link.Place{Region: region, FailureDomain: region},
+			ToPlace: to,
+			From:    from,
 		})
 	}
-	return plan
+	if f.Network.PerVM {
+		for _, vm := range f.VMs {
+			add(f.place(vm), link.Place{Region: f.Network.StorePlace.Region, FailureDomain: StorePlaceName})
+		}
+		return routes
+	}
+	for _, region := range f.regions() {
+		add(link.Place{Region: region, FailureDomain: region}, f.Network.StorePlace)
+	}
+	return routes
+}
+
+// place returns where a VM stands in the network.
+func (f *Fleet) place(vm VM) link.Place {
+	if f.Network.PerVM {
+		return link.Place{Region: vm.Region, FailureDomain: vm.Name}
+	}
+	return link.Place{Region: vm.Region, FailureDomain: vm.FailureDomain}
 }
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -101,12 +132,16 @@
 	return f.network + "1:" + strconv.Itoa(linkPeerPort+i)
 }
 
-// storeURLFrom returns the URL of the store for the nodes of a region.
-func (f *Fleet) storeURLFrom(region string) string {
+// storeURLFrom returns the URL of the store for a VM's node.
+func (f *Fleet) storeURLFrom(vm VM) string {
 	if f.Network == nil {
 		return f.StoreURL()
 	}
-	return "http://" + f.network + "1:" + strconv.Itoa(linkStorePort+slices.Index(f.regions(), region))
+	i := slices.Index(f.regions(), vm.Region)
+	if f.Network.PerVM {
+		i = slices.IndexFunc(f.VMs, func(other VM) bool { return other.Name == vm.Name })
+	}
+	return "http://" + f.network + "1:" + strconv.Itoa(linkStorePort+i)
 }
 
 // LinkURL returns the URL of the relay's admin interface.
--- a/standin/probe/probe.go
+++ b/standin/probe/probe.go
@@ -9,11 +9,14 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 )
 
@@ -34,8 +37,10 @@
 	Answered int
 	NotRun   int
 	Unknown  int
-	// Unreachable counts probes whose entry node gave no answer.
+	// Unreachable counts probes whose entry node refused the connection, Cut those whose
+	// connection broke or gave no answer in time.
 	Unreachable int
+	Cut         int
 }
 
 // Prober sends probes until it is stopped.
@@ -63,7 +68,8 @@
 		served:  map[string][]time.Time{},
 		targets: map[string]string{},
 	}
-	p.http.Transport = &http.Transport{MaxIdleConnsPerHost: len(config.Keys)}
+	// A kept connection may be closed by the node while a probe is on its way.
+	p.http.Transport = &http.Transport{DisableKeepAlives: true}
 	p.http.Timeout = config.Deadline + time.Second
 	for i, key := range config.Keys {
 		p.loops.Go(func() { p.loop(ctx, i, key) })
@@ -109,7 +115,7 @@
 	request.Header.Set("Auburnrelay-Deadline-Ms", strconv.FormatInt(p.config.Deadline.Milliseconds(), 10))
 	resp, err := p.http.Do(request)
 	if err != nil {
-		p.note(func() { p.counts.Unreachable++ })
+		p.note(func() { p.countError(err) })
 		return
 	}
 	_, err = io.Copy(io.Discard, resp.Body)
@@ -123,6 +129,20 @@
 	change()
 }
 
+// countError records a probe without an answer; the caller holds mu.
+func (p *Prober) countError(err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.counts.Unreachable++
+		return
+	}
+	p.counts.Cut++
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		p.reasons["cut: no answer in time"]++
+		return
+	}
+	p.reasons["cut: connection broke"]++
+}
+
 // count records one answer; the caller holds mu.
 func (p *Prober) count(key string, resp *http.Response, err error) {
 	outcome := resp.Header.Get("Auburnrelay-Outcome")
@@ -172,14 +192,17 @@
 	return keys
 }
 
-// Gaps returns, for each key, the longest time between two answers that ends after from,
-// sorted. A key that is still unserved counts up to now.
-func (p *Prober) Gaps(from time.Time) []time.Duration {
+// Gaps returns, for each of the keys, the longest time between two answers that ends after
+// from, sorted. A key that is still unserved counts up to now. No keys stand for all.
+func (p *Prober) Gaps(from time.Time, keys ...string) []time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(keys) == 0 {
+		keys = p.config.Keys
+	}
 	now := time.Now()
-	gaps := make([]time.Duration, 0, len(p.config.Keys))
-	for _, key := range p.config.Keys {
+	gaps := make([]time.Duration, 0, len(keys))
+	for _, key := range keys {
 		gaps = append(gaps, longestGap(p.served[key], from, now))
 	}
 	slices.Sort(gaps)
