--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/auburnrelay/auburnrelay/node/owner"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/node/settings"
+	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
 	"github.com/auburnrelay/auburnrelay/platform"
 )
@@ -49,6 +50,7 @@
 	store     platform.Store
 	link      *target.Link
 	owner     *owner.Owner
+	sharer    *sharing.Sharer
 	control   *control.Control
 	pool      *forward.Pool
 	dispatch  *entry.Dispatcher
@@ -99,6 +101,12 @@
 	}
 	ownerConfig.Metrics = metrics
 	ownerConfig.MaxConcurrent = s.Target.MaxConnections
+	n.sharer = sharing.New(sharing.Config{
+		Cell:   s.Node.Cell,
+		Policy: ownerConfig.Quarantine,
+		Log:    n.log.With("part", "sharing"),
+	}, n.store)
+	ownerConfig.Sharer = n.sharer
 	n.link = link
 	n.owner, err = owner.New(ownerConfig, link)
 	return err
@@ -140,6 +148,13 @@
 	n.pool = forward.NewPool(s.Limits.PeerConnections, grpc.WithContextDialer(dialFrom(s.Listen.Peer)))
 	policy := retry.DefaultPolicy()
 	policy.Ratio = s.Load.RetryShare
+	n.sharer.Attach(n.owner, &sharing.Peers{
+		Cluster: s.Cluster.Name,
+		Cell:    s.Node.Cell,
+		Pool:    n.pool,
+		Members: n.cellMembers,
+		Log:     n.log.With("part", "sharing"),
+	})
 	n.dispatch = entry.NewDispatcher(
 		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause},
 		entry.Parts{
@@ -167,6 +182,7 @@
 		PermitWithoutStream: true,
 	}))
 	n.control.Register(n.peers)
+	sharing.NewServer(n.settings.Cluster.Name, n.settings.Node.Cell, n.owner).Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
 	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
 	n.admin = newAdminServer(adminSource{ready: n.ready, status: n.status, gatherer: n.registry})
@@ -174,6 +190,17 @@
 	return nil
 }
 
+// cellMembers returns the other nodes of the cell.
+func (n *Node) cellMembers() []plane.Peer {
+	var others []plane.Peer
+	for _, m := range n.control.Status().Members {
+		if m.Peer.Name != n.settings.Node.Name {
+			others = append(others, m.Peer)
+		}
+	}
+	return others
+}
+
 func (n *Node) listen() error {
 	wanted := []struct {
 		field   string
--- a/node/run.go
+++ b/node/run.go
@@ -28,7 +28,7 @@
 	group.Add(n.untilSignal(ctx))
 	group.Add(serveHTTP(n.entry, n.listeners.entry))
 	group.Add(servePeers(n.peers, n.listeners.peer))
-	for _, loop := range []func(context.Context) error{n.control.Run, n.owner.Run, n.link.Run} {
+	for _, loop := range []func(context.Context) error{n.control.Run, n.owner.Run, n.link.Run, n.sharer.Run} {
 		group.Add(untilCancelled(loop))
 	}
 	group.Add(serveHTTP(n.local, n.listeners.target))
@@ -38,7 +38,7 @@
 	err := group.Run()
 	n.pool.Close()
 	n.link.Close()
-	n.log.Info("node stopped", "reason", err)
+	n.log.Info("node stopped", "reason", err.Error())
 	if errors.Is(err, errStopped) {
 		return nil
 	}
@@ -77,7 +77,7 @@
 	select {
 	case err := <-left:
 		if err != nil {
-			n.log.Warn("stopped before all keys were handed over", "reason", err)
+			n.log.Warn("stopped before all keys were handed over", "reason", err.Error())
 		}
 		return errStopped
 	case <-signals:
--- /dev/null
+++ b/node/sharing/sharing_test.go
@@ -0,0 +1,98 @@
+package sharing
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/quarantine"
+	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/memstore"
+)
+
+// mark is the fingerprint of the request that crashes targets.
+const mark = quarantine.Fingerprint(7)
+
+// fakeTracker folds like an owner does.
+type fakeTracker struct {
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+}
+
+func (f *fakeTracker) MergeQuarantine(entries []quarantine.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tracker.Merge(entries)
+}
+
+func (f *fakeTracker) Quarantine() []quarantine.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tracker.Entries(time.Now())
+}
+
+func (f *fakeTracker) verdict() quarantine.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	verdict, _ := f.tracker.Check(time.Now(), mark)
+	return verdict
+}
+
+// Publish hands the entries to another node's tracker.
+func (f *fakeTracker) Publish(_ context.Context, entries []quarantine.Entry) {
+	f.MergeQuarantine(entries)
+}
+
+func newTracker() *fakeTracker {
+	return &fakeTracker{tracker: quarantine.New(quarantine.DefaultPolicy())}
+}
+
+// lossyStore loses the answers of the next writes after their effect.
+type lossyStore struct {
+	platform.Store
+	lose int
+}
+
+func (l *lossyStore) Put(ctx context.Context, key string, value []byte, expected platform.Version, id string) (platform.Version, error) {
+	version, err := l.Store.Put(ctx, key, value, expected, id)
+	if l.lose > 0 {
+		l.lose--
+		return 0, platform.ErrUnknownOutcome
+	}
+	return version, err
+}
+
+// TestCrashesAreCountedAcrossTheCell lets one target crash at each of two nodes. The second
+// crash bans the request at both, and at a node that starts later. A lost answer of the store
+// counts no crash twice.
+func TestCrashesAreCountedAcrossTheCell(t *testing.T) {
+	store := &lossyStore{Store: memstore.New(memstore.Options{}), lose: 1}
+	first, second, late := newTracker(), newTracker(), newTracker()
+	start := func(tracker, peer *fakeTracker) *Sharer {
+		s := New(Config{Cell: "alfold", Policy: quarantine.DefaultPolicy(), Log: slog.New(slog.DiscardHandler)}, store)
+		s.Attach(tracker, peer)
+		go func() { _ = s.Run(t.Context()) }()
+		return s
+	}
+	a, b := start(first, second), start(second, first)
+	a.Share([]quarantine.Change{{Fingerprint: mark, Kind: quarantine.Crashed, At: time.Now()}})
+	await(t, func() bool { return second.verdict() == quarantine.Suspect })
+	if got := first.verdict(); got != quarantine.Suspect {
+		t.Fatalf("after one crash: %v", got)
+	}
+	b.Share([]quarantine.Change{{Fingerprint: mark, Kind: quarantine.Crashed, At: time.Now()}})
+	await(t, func() bool { return first.verdict() == quarantine.Banned })
+	start(late, newTracker())
+	await(t, func() bool { return late.verdict() == quarantine.Banned })
+}
+
+func await(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached in time")
+		}
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -300,12 +300,17 @@
 			first = err
 		}
 	}
+	var nodes []*Process
 	for _, p := range f.Nodes {
 		if p.Running() {
+			nodes = append(nodes, p)
 			note(p.Terminate())
 		}
 	}
-	for _, group := range []map[string]*Process{f.Nodes, f.Targets, f.services()} {
+	for _, p := range nodes {
+		note(p.Ended(stopWait))
+	}
+	for _, group := range []map[string]*Process{f.Targets, f.services()} {
 		for _, p := range group {
 			if p.Running() {
 				note(p.Stop(stopWait))
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -79,14 +79,19 @@
 // Terminate asks the process to stop gracefully.
 func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
 
-// Stop asks the process to stop and waits. It fails with ErrStillRuns after the wait, or
-// with the process's own error.
+// Stop asks the process to stop and waits for its end like Ended.
 func (p *Process) Stop(wait time.Duration) error {
 	if p.Running() {
 		if err := p.Terminate(); err != nil && !errors.Is(err, os.ErrProcessDone) {
 			return errors.Wrapf(err, "stop %s", p.Name)
 		}
 	}
+	return p.Ended(wait)
+}
+
+// Ended waits for the end of the process. It fails with ErrStillRuns after the wait, or with
+// the process's own error.
+func (p *Process) Ended(wait time.Duration) error {
 	select {
 	case <-p.done:
 	case <-time.After(wait):
