--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -155,13 +155,12 @@
 	}
 }
 
-func (w *world) addNode(name, domain, cellName string, rate float64, checks bool) *simNode {
+func (w *world) addNode(name, domain, cellName string, rate float64, checks bool) {
 	n := &simNode{name: name, domain: domain, cell: cellName, rate: rate, targetAlive: true}
 	n.target = Target{State: TargetReady, Incarnation: 1, Slots: 6, ChecksFences: checks, Address: name + ":target"}
 	w.nodes[name] = n
 	w.names = append(w.names, name)
 	w.start(n)
-	return n
 }
 
 // start begins a new process on the node's VM.
