--- a/node/target/conn.go
+++ b/node/target/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,6 +19,9 @@
 // proved never to have been sent.
 type meteredConn struct {
 	net.Conn
+	// open counts the open connections of the link; closed tells that this one is out of it.
+	open   *atomic.Int64
+	closed sync.Once
 
 	mu      sync.Mutex
 	written int64
@@ -35,6 +39,12 @@
 	return c.Conn.Write(p)
 }
 
+// Close closes the connection and counts it out.
+func (c *meteredConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 func (c *meteredConn) admit(n int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -73,7 +83,10 @@
 // sendProof follows one call through the connections that the transport picks for it.
 type sendProof struct {
 	// gate tells whether the call may still be sent.
-	gate  func() bool
+	gate func() bool
+	// stop ends the call.
+	stop func()
+
 	mu    sync.Mutex
 	conn  *meteredConn
 	start int64
@@ -84,6 +97,9 @@
 	return &httptrace.ClientTrace{GotConn: p.gotConn}
 }
 
+// gotConn takes in the connection of a try. The transport would send an idempotent request a
+// second time by itself; that is stopped here, because whether to retry is not its to decide: a
+// request that crashed the target must not crash it again unseen.
 func (p *sendProof) gotConn(info httptrace.GotConnInfo) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,6 +111,11 @@
 		p.dirty = true
 		return
 	}
+	if p.dirty {
+		conn.begin(func() bool { return false })
+		p.stop()
+		return
+	}
 	p.conn = conn
 	p.start = conn.begin(p.gate)
 }
