--- a/core/cell/guards_test.go
+++ b/core/cell/guards_test.go
@@ -31,6 +31,7 @@
 	"lease of one target":       func(g *guards) { g.anyTarget = true },
 	"dropped range rests":       func(g *guards) { g.grantDropped = true },
 	"grant to listed nodes":     func(g *guards) { g.grantUnlisted = true },
+	"split slice rests":         func(g *guards) { g.grantSplit = true },
 	"activate checking targets": func(g *guards) { g.activateAny = true },
 }
 
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -95,6 +95,7 @@
 	grantDropped      bool
 	grantUnlisted     bool
 	activateAny       bool
+	grantSplit        bool
 }
 
 // New returns the machine of a node that has just started.
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -182,7 +182,7 @@
 	activated := false
 	for _, id := range sortedSlices(c.routes.slices) {
 		r := c.routes.slices[id]
-		if _, done := c.active[id]; done || r.owner == "" || m.dropping(id.Range) {
+		if _, done := c.active[id]; done || r.owner == "" || m.dropping(id.Range) || m.splitting(id) {
 			continue
 		}
 		if m.takeBack(id, r) {
--- a/core/cell/walk_test.go
+++ b/core/cell/walk_test.go
@@ -23,6 +23,9 @@
 	if seed%3 == 0 {
 		cells = append(cells, "dunantul")
 	}
+	if w.rng.IntN(2) == 0 {
+		w.chaos.load = 0.05
+	}
 	w.acceptSheet(walkSlices, cells...)
 	count := 2 + w.rng.IntN(4)
 	for i := range count {
@@ -186,7 +189,15 @@
 	w := walkWorld(seed)
 	w.after(walkCalmAt+8*time.Second, w.calm)
 	w.run(walkLength)
-	want := walkSlices * len(w.sheets[0].Services[0].Ranges)
+	want := 0
+	for _, o := range w.store.objects {
+		for _, rr := range o.rec.Ranges {
+			want += len(rr.Slices)
+		}
+	}
+	if least := walkSlices * len(w.sheets[0].Services[0].Ranges); want < least {
+		w.violate("the records hold %d slices, the sheet has %d", want, least)
+	}
 	if got := w.served(); len(w.bad) == 0 && got != want {
 		w.violate("%d of %d slices are served after the faults ended", got, want)
 	}
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -44,6 +44,8 @@
 	staleSheet, pauseAtWrite float64
 	// runFor is how long requests run on targets, zero for none.
 	runFor time.Duration
+	// load is the share of ticks at which a node reports work.
+	load float64
 	// drainFor is how long a drain takes at least.
 	drainFor time.Duration
 }
@@ -187,7 +189,7 @@
 		return
 	}
 	if w.t >= n.pausedUntil {
-		w.step(n, inc, TargetReported{Target: n.target})
+		w.step(n, inc, TargetReported{Target: n.target, Loads: w.loads(n)})
 		w.step(n, inc, Tick{})
 		w.startRuns(n)
 	}
@@ -338,6 +340,7 @@
 		w.fences[l.Slice] = l.Fence
 		w.holders[l.Slice] = simLease{node: self, fence: l.Fence, until: until}
 	}
+	w.checkHot()
 }
 
 func (w *world) ended(n *simNode, id keyspace.SliceID) {
@@ -347,6 +350,57 @@
 	}
 }
 
+// loads reports work on some held slices, now and then with a hot key.
+func (w *world) loads(n *simNode) []SliceLoad {
+	if w.chaos.load == 0 || w.rng.Float64() > w.chaos.load {
+		return nil
+	}
+	var loads []SliceLoad
+	for _, id := range sortedSlices(w.holders) {
+		h := w.holders[id]
+		if h.node != (Node{n.name, n.inc}) || h.until <= w.t {
+			continue
+		}
+		l := SliceLoad{Slice: id, WorkMillis: uint32(w.rng.IntN(3000)), Requests: 10}
+		l.HotKey, l.HotShare = w.hotKey(id), 800
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// hotKey returns a key of the slice, empty if a few tries find none.
+func (w *world) hotKey(id keyspace.SliceID) string {
+	for range 3 {
+		key := fmt.Sprintf("%c%d", 'a'+w.rng.IntN(26), w.rng.IntN(4))
+		for _, r := range w.sheets[len(w.sheets)-1].Services[0].Ranges {
+			if r.Contains(key) && r.SliceOf(key) == id {
+				return key
+			}
+		}
+	}
+	return ""
+}
+
+// checkHot checks that nobody serves a key with a slice of its own under its base slice
+// beside the holder of its own.
+func (w *world) checkHot() {
+	for _, o := range w.store.objects {
+		for i := range o.rec.Ranges {
+			rr := &o.rec.Ranges[i]
+			for j, key := range rr.Hot {
+				own := w.holders[keyspace.SliceID{Range: rr.Range.ID(), Index: rr.Range.Slices + uint32(j)}]
+				base := w.holders[rr.Range.SliceOf(key)]
+				if own.until <= w.t || base.until <= w.t || own.node.Name == base.node.Name {
+					continue
+				}
+				if n := w.nodes[base.node.Name]; n.m != nil && n.m.table.SliceOf(rr.Range, key) == rr.Range.SliceOf(key) {
+					w.violate("key %s: served by %s in its base slice and by %s in its own", key, base.node.Name, own.node.Name)
+				}
+			}
+		}
+	}
+}
+
 // startRuns lets the node's target execute a request of each slice now and then.
 func (w *world) startRuns(n *simNode) {
 	if !n.targetAlive || w.chaos.runFor == 0 {
--- a/core/cell/write.go
+++ b/core/cell/write.go
@@ -149,6 +149,24 @@
 	return m.write != nil && m.write.dropped[id] && !m.guards.grantDropped
 }
 
+// splitting reports whether a write that takes a hot key out of the slice may take effect.
+// A holder of the slice would not know that the key is another's.
+func (m *Machine) splitting(id keyspace.SliceID) bool {
+	if m.write == nil || !m.write.slices[id] || m.guards.grantSplit {
+		return false
+	}
+	return hotKeys(m.write.record, id.Range) != hotKeys(m.rec, id.Range)
+}
+
+func hotKeys(r *Record, id keyspace.RangeID) int {
+	for i := range r.Ranges {
+		if r.Ranges[i].Range.ID() == id {
+			return len(r.Ranges[i].Hot)
+		}
+	}
+	return 0
+}
+
 // droppedRanges returns the ranges that the next record no longer holds.
 func droppedRanges(old, next *Record) map[keyspace.RangeID]bool {
 	dropped := make(map[keyspace.RangeID]bool)
