Fit the control of 24 nodes into its bytes; keep a draining slice closed

Draining: a takeover raised the fence of a slice that was being drained, and the request side opened it again (TestDrainAcrossEpochs failed first).

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 PROTOC_GEN_GO_GRPC := google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2
 
-.PHONY: demo test build tools generate check-generated format check-format lint tidy check-tidy clean
+.PHONY: walk demo test build tools generate check-generated format check-format lint tidy check-tidy clean
 
 # Builds everything and runs the demonstration as separate processes.
 demo: build
@@ -54,3 +54,10 @@
 
 clean:
 	rm -rf $(BUILD)
+
+# Plays SEEDS seeds of the random walk over the cell's state machine and prints the seed of
+# a failure; FIRST is the first of them.
+SEEDS ?= 5000
+FIRST ?= 1
+walk:
+	@cd core && WALK_SEEDS=$(SEEDS) WALK_FIRST=$(FIRST) go test ./cell -run 'TestWalk$$' -timeout 0 -v
--- a/core/cell/grants.go
+++ b/core/cell/grants.go
@@ -17,17 +17,37 @@
 		a.Epoch, a.Controller = m.ctl.epoch, m.selfMember()
 	}
 	if m.ctl != nil && h.Epoch == m.ctl.epoch {
-		if n := m.note(h); n != nil && m.hasAuthority() {
+		a.Unknown = !m.complete(&h)
+		if n := m.note(h, !a.Unknown); n != nil && m.hasAuthority() {
 			m.answer(&a, h, n)
 		}
 	}
 	m.emit(AnswerHeartbeat{To: h.From.Node, Answer: a})
 }
 
+// complete fills in what a brief heartbeat leaves out. It reports false for a node that is
+// not known in full.
+func (m *Machine) complete(h *Heartbeat) bool {
+	if h.From.Address != "" {
+		return true
+	}
+	n := m.ctl.members[h.From.Name]
+	if n == nil || n.Node != h.From.Node || n.Target.Incarnation != h.From.Target.Incarnation {
+		return false
+	}
+	target := h.From.Target
+	h.From = n.Member
+	h.From.Target.State, h.From.Target.Slots, h.From.Target.ChecksFences = target.State, target.Slots, target.ChecksFences
+	return true
+}
+
 // note takes a heartbeat into the controller's view. It returns nil for one that is older
-// than what was already seen.
-func (m *Machine) note(h Heartbeat) *memberState {
+// than what was already seen, or that comes from a node not known in full.
+func (m *Machine) note(h Heartbeat, known bool) *memberState {
 	c := m.ctl
+	if !known {
+		return nil
+	}
 	n := c.members[h.From.Name]
 	if n != nil && n.Node != h.From.Node {
 		if h.From.Incarnation < n.Incarnation && m.now-n.seen < 2*m.timing.Lease {
--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -36,6 +36,8 @@
 	beatAt  time.Duration
 	// beatSoon asks for a heartbeat before its time.
 	beatSoon bool
+	// shown is the target process that the last full heartbeat named.
+	shown uint64
 	// heard is when the controller last accepted a heartbeat.
 	heard time.Duration
 	// released waits for the controller to note it; refused keeps the fences for good.
@@ -117,7 +119,7 @@
 func (m *Machine) heartbeat() Heartbeat {
 	h := &m.holder
 	beat := Heartbeat{
-		From: m.selfMember(), Number: h.number, Epoch: m.epoch, Set: h.setID,
+		From: m.briefMember(), Number: h.number, Epoch: m.epoch, Set: h.setID,
 		Cells: m.cells.Version, Loads: m.loads, Leaving: m.leaving,
 	}
 	if m.sheet != nil {
@@ -136,6 +138,20 @@
 	return beat
 }
 
+// briefMember leaves out what the controller knows from the heartbeat that began the set of
+// grants, unless the target was replaced since.
+func (m *Machine) briefMember() Member {
+	h := &m.holder
+	full := m.selfMember()
+	if h.setID == 0 || h.shown != m.target.Incarnation {
+		h.shown = m.target.Incarnation
+		return full
+	}
+	t := m.target
+	brief := Target{State: t.State, Incarnation: t.Incarnation, Slots: t.Slots, ChecksFences: t.ChecksFences}
+	return Member{Node: m.self, Target: brief}
+}
+
 func (m *Machine) heldSlices() []HeldSlice {
 	var held []HeldSlice
 	for id, l := range m.holder.held {
@@ -188,6 +204,10 @@
 		m.follow(a.Epoch, a.Controller)
 		m.holder.beatSoon = true
 	}
+	if a.Unknown && a.Epoch == m.epoch {
+		m.holder.setID = 0
+		m.holder.beatSoon = true
+	}
 }
 
 // takeState takes the sheet, the route table and the other cells' contacts.
@@ -297,6 +317,10 @@
 	}
 	l.fence = g.Fence
 	l.until = max(l.until, until)
+	if drained, ok := h.draining[id]; ok {
+		// The lease of what still runs goes on; a higher fence would open the slice again.
+		return Adoption{Slice: id, Fence: drained, Until: l.until}
+	}
 	return Adoption{Slice: id, Fence: g.Fence, Until: l.until, Window: g.Window}
 }
 
--- a/core/cell/holder_test.go
+++ b/core/cell/holder_test.go
@@ -130,6 +130,24 @@
 	}
 }
 
+// TestDrainAcrossEpochs checks that a grant of a next epoch does not open a slice that is
+// being drained: it prolongs the lease of what runs under the fence that was drained.
+func TestDrainAcrossEpochs(t *testing.T) {
+	l := newLone(func(*guards) {}, true)
+	first := fence.Fence{Epoch: 1, Seq: 5}
+	l.grant(first, func(a *Answer) { a.Drain = []keyspace.SliceID{testSlice} })
+	until := l.held[testSlice].Until
+	l.step(Poked{Poke: Poke{Epoch: 2, Controller: Member{Node: Node{"c", 1}}}})
+	l.grant(fence.Fence{Epoch: 2, Seq: 5}, func(a *Answer) { a.Epoch = 2 })
+	if got := l.held[testSlice]; got.Fence != first || got.Until <= until {
+		t.Errorf("adopted %v until %v, want %v prolonged over %v", got.Fence, got.Until, first, until)
+	}
+	l.step(SliceDrained{Slice: testSlice})
+	if last := l.beats[len(l.beats)-1]; len(last.Released) != 1 || last.Released[0].Fence.Epoch != 2 {
+		t.Errorf("released %v, want the fence of the next epoch", last.Released)
+	}
+}
+
 // TestDatesFromSending checks that a lease counts from before its heartbeat was sent.
 func TestDatesFromSending(t *testing.T) {
 	l := newLone(func(*guards) {}, true)
--- a/core/cell/types.go
+++ b/core/cell/types.go
@@ -119,6 +119,7 @@
 
 // Heartbeat is a node's numbered request to its controller.
 type Heartbeat struct {
+	// From lacks the addresses when the controller must know them already.
 	From   Member
 	Number uint64
 	Epoch  uint64
@@ -139,6 +140,8 @@
 type Answer struct {
 	Number   uint64
 	Accepted bool
+	// Unknown asks for a heartbeat that names the node in full.
+	Unknown bool
 	// Epoch and Controller are the newest that the answering node knows.
 	Epoch      uint64
 	Controller Member
--- /dev/null
+++ b/node/control/budget_test.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/auburnrelay/auburnrelay/platform/memstore"
+)
+
+const (
+	// controlBudget is what a node may spend for control, in bytes per second.
+	controlBudget = 21000
+	// packetHeader is the size of the IP and TCP headers with timestamps, in bytes.
+	packetHeader = 52
+)
+
+// wires keeps the connections dialled between nodes, to read the kernel's counts.
+type wires struct {
+	mu    sync.Mutex
+	conns map[string][]*net.TCPConn
+}
+
+// dial opens a connection and notes it for both of its ends.
+func (w *wires) dial(self string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialTCP(ctx, address)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.conns[self] = append(w.conns[self], tcp)
+			w.conns[address] = append(w.conns[address], tcp)
+		}
+		return conn, err
+	}
+}
+
+// count returns the payload bytes and the segments of an address, both ways.
+func (w *wires) count(address string) (bytes, segments float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, conn := range w.conns[address] {
+		raw, err := conn.SyscallConn()
+		if err != nil {
+			continue
+		}
+		_ = raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				bytes += float64(info.Bytes_acked + info.Bytes_received)
+				segments += float64(info.Segs_in + info.Segs_out)
+			}
+		})
+	}
+	return bytes, segments
+}
+
+func processCPU() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// TestControlBudget measures what the controller of a cell at rest sends and receives,
+// headers and acknowledgements included, and holds a cell of 24 nodes to the budget. With
+// CONTROL_SIZES set it measures other sizes too.
+func TestControlBudget(t *testing.T) {
+	sizes := []int{24}
+	if os.Getenv("CONTROL_SIZES") != "" {
+		sizes = []int{4, 8, 16, 24, 32}
+	}
+	for _, size := range sizes {
+		perSecond := controlBytes(t, size)
+		if size == 24 && perSecond > controlBudget {
+			t.Errorf("controller of %d nodes: %.0f B/s, budget %d", size, perSecond, controlBudget)
+		}
+	}
+}
+
+func controlBytes(t *testing.T, size int) float64 {
+	t.Helper()
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	w := &wires{conns: make(map[string][]*net.TCPConn)}
+	var nodes []*testNode
+	for i := range size {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, startNodeOn(t, l, store, fmt.Sprintf("vm-%02d", i), strconv.Itoa(i%2), "alfold", w.dial(l.Addr().String())))
+	}
+	waitFor(t, "all slices served", 20*time.Second, func() bool { return served(t, nodes) == testSlices })
+	settled := nodes[0].control.Status().Owners
+	for quiet := time.Now(); time.Since(quiet) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+		if now := nodes[0].control.Status().Owners; fmt.Sprint(now) != fmt.Sprint(settled) {
+			settled, quiet = now, time.Now()
+		}
+	}
+	const span = 4 * time.Second
+	address := nodes[pick(nodes, "controller")].control.Self().Address
+	bytes, segments := w.count(address)
+	cpu := processCPU()
+	time.Sleep(span)
+	bytesAfter, segmentsAfter := w.count(address)
+	payload := (bytesAfter - bytes) / span.Seconds()
+	packets := (segmentsAfter - segments) / span.Seconds()
+	used := (processCPU() - cpu).Seconds() / span.Seconds() / float64(size)
+	all := payload + packets*packetHeader
+	t.Logf("%2d nodes: controller %.0f B/s payload, %.0f segments/s, %.0f B/s with headers; %.2f%% of a core for each node", size, payload, packets, all, 100*used)
+	for _, n := range nodes {
+		n.kill()
+	}
+	return all
+}
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
 	"github.com/auburnrelay/auburnrelay/node/plane"
@@ -25,6 +26,7 @@
 type fakeHolder struct {
 	mu     sync.Mutex
 	leases map[keyspace.SliceID]plane.Lease
+	closed map[keyspace.SliceID]fence.Fence
 	target plane.TargetReport
 }
 
@@ -32,7 +34,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, l := range leases {
-		h.leases[l.Slice] = l
+		if f, ok := h.closed[l.Slice]; !ok || f.Less(l.Fence) {
+			h.leases[l.Slice] = l
+		}
 	}
 }
 
@@ -46,6 +50,7 @@
 
 func (h *fakeHolder) Drain(slice keyspace.SliceID, done func([]byte)) {
 	h.mu.Lock()
+	h.closed[slice] = h.leases[slice].Fence
 	delete(h.leases, slice)
 	h.mu.Unlock()
 	done([]byte("window of " + slice.String()))
@@ -95,8 +100,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startNodeOn(t, listener, store, name, domain, cellName, nil)
+}
+
+func startNodeOn(t *testing.T, listener net.Listener, store platform.Store, name, domain, cellName string, dial func(context.Context, string) (net.Conn, error)) *testNode {
+	t.Helper()
 	h := &fakeHolder{
 		leases: make(map[keyspace.SliceID]plane.Lease),
+		closed: make(map[keyspace.SliceID]fence.Fence),
 		target: plane.TargetReport{State: plane.TargetReady, Incarnation: 1, Slots: 6, ChecksFences: true},
 	}
 	level := slog.LevelError
@@ -108,13 +119,13 @@
 		EntryAddress: "127.0.0.1:1", Region: "alfold", FailureDomain: domain, Cell: cellName,
 	}
 	c, err := New(Config{
-		Self: self, Cluster: "test", Cell: cellName,
+		Self: self, Cluster: "test", Cell: cellName, Dial: dial,
 		Logger: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})),
 	}, store, h)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &testNode{control: c, holder: h, done: make(chan struct{}), server: grpc.NewServer()}
+	n := &testNode{control: c, holder: h, done: make(chan struct{}), server: grpc.NewServer(ServerOptions()...)}
 	c.Register(n.server)
 	go func() { _ = n.server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -265,5 +276,74 @@
 	if first.Owner.Name != second.Owner.Name {
 		t.Errorf("nodes disagree on the owner: %s, %s", first.Owner.Name, second.Owner.Name)
 	}
-	_ = cell.TickInterval
+}
+
+// sheetWithin is the stated bound for an accepted sheet to be in force everywhere.
+const sheetWithin = 9 * time.Second
+
+func TestSheetReachesEveryNode(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	version := putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	version = putSheet(t, store, version, "alfold")
+	took := waitFor(t, "the sheet in force on every node", sheetWithin, func() bool {
+		for _, n := range nodes {
+			if n.control.Status().SheetVersion != int64(version) {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("in force everywhere after %v", took)
+}
+
+// TestStoreOutage checks that leases outlive the store, and that a node lost meanwhile has
+// its slices served by their successors, which the record shows afterwards.
+func TestStoreOutage(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	store.SetFaults(memstore.Faults{Down: true})
+	time.Sleep(2 * nodes[0].control.cfg.Timing.Lease)
+	if n := served(t, nodes); n != testSlices {
+		t.Fatalf("%d of %d slices served in the outage", n, testSlices)
+	}
+	i := pick(nodes, "plain")
+	nodes[i].kill()
+	nodes = append(nodes[:i], nodes[i+1:]...)
+	waitFor(t, "served by the successors", 3*time.Second, func() bool { return served(t, nodes) == testSlices })
+	store.SetFaults(memstore.Faults{})
+	waitFor(t, "activations in the record", 5*time.Second, func() bool {
+		o, err := store.Get(context.Background(), cellsPrefix+"alfold")
+		if err != nil {
+			return false
+		}
+		record, err := cell.DecodeRecord(o.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range record.Ranges[0].Slices {
+			if a.Owner != nodes[0].control.Self().Name && a.Owner != nodes[1].control.Self().Name {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestTwoCellsSwapARange checks that a range changes cells without two holders.
+func TestTwoCellsSwapARange(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	version := putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	nodes = append(nodes, startNode(t, store, "vm-x", "gyor", "dunantul"), startNode(t, store, "vm-y", "pecs", "dunantul"))
+	putSheet(t, store, version, "dunantul")
+	waitFor(t, "the range served by the other cell", 10*time.Second, func() bool {
+		served(t, nodes)
+		return served(t, nodes[3:]) == testSlices
+	})
+	waitFor(t, "contacts of the other cell", 5*time.Second, func() bool {
+		r, err := nodes[0].control.Locate("booking", "bay-7")
+		return err == nil && len(r.Contacts) == 2
+	})
 }
--- a/node/control/peers.go
+++ b/node/control/peers.go
@@ -20,6 +20,15 @@
 // peersMax bounds the connections kept to other nodes.
 const peersMax = 64
 
+// windowBytes is the static flow-control window of control connections. A window that adapts
+// itself would cost a ping for each exchange.
+const windowBytes = 1 << 20
+
+// ServerOptions returns the options that keep a gRPC server from sending such pings.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(windowBytes)}
+}
+
 // peers keeps one connection per address, dialled on demand.
 type peers struct {
 	dial  func(ctx context.Context, address string) (net.Conn, error)
@@ -41,6 +50,8 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(p.dial),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 300 * time.Millisecond},
 			MinConnectTimeout: dialTimeout,
--- a/node/node.go
+++ b/node/node.go
@@ -162,10 +162,11 @@
 }
 
 func (n *Node) provisionServers() error {
-	n.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+	options := append(control.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
 		PermitWithoutStream: true,
 	}))
+	n.peers = grpc.NewServer(options...)
 	n.control.Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
 	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
--- a/node/plane/plane.go
+++ b/node/plane/plane.go
@@ -100,7 +100,8 @@
 	// End stops serving the slices at once: their leases lapsed or were taken away.
 	End(slices []keyspace.SliceID, reason string)
 	// Drain stops admitting to the slice, gives up what is queued and calls done with the
-	// encoded window of ids when nothing of the slice runs any more.
+	// encoded window of ids when nothing of the slice runs any more. Until then Adopt may
+	// prolong the lease of what runs; only a lease with a higher fence opens the slice again.
 	Drain(slice keyspace.SliceID, done func(window []byte))
 	// Report returns the local target's state.
 	Report() TargetReport
--- a/wire/cellwire/cellwire.go
+++ b/wire/cellwire/cellwire.go
@@ -148,7 +148,7 @@
 func AnswerToWire(from cell.Node, a cell.Answer) (*pb.HeartbeatResponse, error) {
 	r := &pb.HeartbeatResponse{
 		Number: a.Number, Accepted: a.Accepted, Epoch: a.Epoch, ForUs: uint64(a.For.Microseconds()),
-		Set: a.Set, Full: a.Full, Needs: versionToWire(a.Needs), Left: a.Left,
+		Set: a.Set, Full: a.Full, Needs: versionToWire(a.Needs), Left: a.Left, Unknown: a.Unknown,
 	}
 	if !a.Accepted {
 		r.Controller = MemberToWire(a.Controller)
@@ -181,7 +181,7 @@
 	a := cell.Answer{
 		Number: r.GetNumber(), Accepted: r.GetAccepted(), Epoch: r.GetEpoch(), Controller: MemberFromWire(r.GetController()),
 		For: time.Duration(r.GetForUs()) * time.Microsecond, Set: r.GetSet(), Full: r.GetFull(),
-		Needs: versionFromWire(r.GetNeeds()), Left: r.GetLeft(),
+		Needs: versionFromWire(r.GetNeeds()), Left: r.GetLeft(), Unknown: r.GetUnknown(),
 	}
 	for _, g := range r.GetGrants() {
 		id, f, window := leaseFromWire(g)
