Let incarnations grow, so that a late message of a former process loses

Incarnations were random in the daemon while the controller takes the higher one for the later process: every other restart in place would have waited for the former process to be silent for two leases.

--- a/core/cell/types.go
+++ b/core/cell/types.go
@@ -7,8 +7,8 @@
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 )
 
-// Node names one process: the VM it runs on and its incarnation. After a restart the
-// VM's node is another process. The zero Node is nobody.
+// Node names one process: the VM it runs on and its incarnation, which grows with each
+// start. After a restart the VM's node is another process. The zero Node is nobody.
 type Node struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -62,6 +62,10 @@
 	status   Status
 }
 
+// NewIncarnation returns the incarnation of a process that starts now. Of two processes of a
+// VM the later has the higher one; the former's messages may still arrive.
+func NewIncarnation() uint64 { return uint64(time.Now().UnixNano()) }
+
 // eventQueue is the number of events that may wait for the loop.
 const eventQueue = 1024
 
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -115,7 +115,7 @@
 		level = slog.LevelInfo
 	}
 	self := plane.Peer{
-		Name: name, Incarnation: uint64(time.Now().UnixNano()), Address: listener.Addr().String(),
+		Name: name, Incarnation: NewIncarnation(), Address: listener.Addr().String(),
 		EntryAddress: "127.0.0.1:1", Region: "alfold", FailureDomain: domain, Cell: cellName,
 	}
 	c, err := New(Config{
@@ -347,3 +347,25 @@
 		return err == nil && len(r.Contacts) == 2
 	})
 }
+
+// TestRestartInPlace checks that a node that is replaced on its own address serves again
+// within the bound and keeps its slices.
+func TestRestartInPlace(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	i := pick(nodes, "plain")
+	old := nodes[i]
+	before := len(old.holder.live())
+	old.kill()
+	listener, err := net.Listen("tcp", old.control.Self().Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes[i] = startNodeOn(t, listener, store, old.control.Self().Name, "debrecen", "alfold", nil)
+	took := waitFor(t, "served again by the restarted node", 3*time.Second, func() bool { return served(t, nodes) == testSlices })
+	if after := len(nodes[i].holder.live()); after != before {
+		t.Errorf("the restarted node holds %d slices, %d before", after, before)
+	}
+	t.Logf("served again after %v", took)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -114,7 +113,7 @@
 	s := n.settings
 	self := plane.Peer{
 		Name:          s.Node.Name,
-		Incarnation:   rand.Uint64(),
+		Incarnation:   control.NewIncarnation(),
 		Address:       s.Listen.AdvertisePeer,
 		EntryAddress:  s.Listen.AdvertiseEntry,
 		Region:        s.Node.Region,
--- a/node/plane/plane.go
+++ b/node/plane/plane.go
@@ -21,7 +21,7 @@
 type Peer struct {
 	// Name is the name of the node's VM, from its settings.
 	Name string
-	// Incarnation is drawn anew each time the process starts.
+	// Incarnation numbers the processes of the VM; it grows with each start.
 	Incarnation uint64
 	// Address is the IP address and port of the node's gRPC listener.
 	Address string
