Give up moves that only spread work when a slice drains slowly

A long request held a slice closed for as long as it ran. The controller now assigns the slice to its owner again after two seconds, under a higher fence, and leaves it alone for a minute. Spreading is decided twice a second.

--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -317,7 +317,12 @@
 	}
 	l.fence = g.Fence
 	l.until = max(l.until, until)
-	if drained, ok := h.draining[id]; ok {
+	drained, draining := h.draining[id]
+	if draining && drained.Seq != g.Fence.Seq {
+		delete(h.draining, id)
+		l.draining, draining = false, false
+	}
+	if draining {
 		// The lease of what still runs goes on; a higher fence would open the slice again.
 		return Adoption{Slice: id, Fence: drained, Until: l.until}
 	}
--- a/core/cell/moves.go
+++ b/core/cell/moves.go
@@ -12,6 +12,13 @@
 	drainingMax = 0.125
 	// churnPerMinute bounds planned moves for balance, as a share of the cell's slices.
 	churnPerMinute = 0.02
+	// spreadInterval is the time between two decisions that spread slices and work.
+	spreadInterval = 500 * time.Millisecond
+	// giveUpAfter is how long a move that only spreads work waits for its slice to drain:
+	// until then no request of the slice is admitted.
+	giveUpAfter = 2 * time.Second
+	// restAfter is how long a slice whose move was given up is left alone.
+	restAfter = time.Minute
 	// hotWork is the slot time per second of one key that earns it a slice, in milliseconds.
 	hotWork = 500
 	// hotShareMin is the least share of its slice's work of such a key, in thousandths.
@@ -33,6 +40,21 @@
 	m.pokeName(r.owner)
 }
 
+// voluntary marks a move that is given up rather than waited for.
+func (m *Machine) voluntary(id keyspace.SliceID) {
+	if mv, ok := m.ctl.moving[id]; ok {
+		mv.voluntary = true
+		m.ctl.moving[id] = mv
+	}
+}
+
+// overdue reports whether a voluntary move has waited too long for its slice to drain.
+func (m *Machine) overdue(id keyspace.SliceID) bool {
+	mv, ok := m.ctl.moving[id]
+	g, granted := m.ctl.granted[id]
+	return ok && mv.voluntary && m.now-mv.since > giveUpAfter && granted && g.until > m.now
+}
+
 // planMoves starts the planned moves that the present state asks for.
 func (m *Machine) planMoves() {
 	p := m.problem()
@@ -41,9 +63,11 @@
 		return
 	}
 	m.moveAway(p)
-	if m.now-m.membersSince() < settleTime {
+	c := m.ctl
+	if m.now-c.plans.joinedAt < settleTime || m.now-c.plans.spreadAt < spreadInterval {
 		return
 	}
+	c.plans.spreadAt = m.now
 	m.fill()
 	m.splitHot()
 	m.balance()
@@ -61,19 +85,18 @@
 	for _, mv := range placement.Fill(p, limit) {
 		filling[mv.To] = true
 		m.startMove(mv.ID, mv.To, mv.Reason, "")
+		m.voluntary(mv.ID)
 	}
 	c.plans.filling = filling
 }
 
-// membersSince returns when the youngest member was first seen.
-func (m *Machine) membersSince() time.Duration { return m.ctl.plans.joinedAt }
-
-// pinned marks the slices of p that have begun to move since it was made.
+// pinned marks the slices of p that move, are not served, or could not be drained lately.
 func (m *Machine) pinned(p placement.Problem) placement.Problem {
 	for i := range p.Slices {
 		_, moving := m.ctl.moving[p.Slices[i].ID]
 		_, granted := m.ctl.granted[p.Slices[i].ID]
-		p.Slices[i].Pinned = moving || !granted
+		rests := m.now < m.ctl.plans.restUntil[p.Slices[i].ID]
+		p.Slices[i].Pinned = moving || !granted || rests
 	}
 	return p
 }
@@ -144,6 +167,7 @@
 	}
 	for _, mv := range placement.Balance(p, budget) {
 		m.startMove(mv.ID, mv.To, mv.Reason, "")
+		m.voluntary(mv.ID)
 		c.plans.churned++
 	}
 }
@@ -159,12 +183,13 @@
 			continue
 		}
 		m.startMove(id, c.routes.slices[id].owner, "one key carries most of the slice's work", w.hotKey)
+		m.voluntary(id)
 	}
 }
 
 func (m *Machine) splittable(id keyspace.SliceID, key string) bool {
 	c := m.ctl
-	if _, granted := c.granted[id]; !granted {
+	if _, granted := c.granted[id]; !granted || m.now < c.plans.restUntil[id] {
 		return false
 	}
 	for i := range m.rec.Ranges {
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -29,9 +29,12 @@
 	unwanted map[keyspace.RangeID]bool
 	at       time.Duration
 	joinedAt time.Duration
+	spreadAt time.Duration
 	loads    loads
 	// filling has the nodes that are being given their share.
 	filling map[string]bool
+	// restUntil has the slices whose moves were given up.
+	restUntil map[keyspace.SliceID]time.Duration
 	// churnAt and churned count planned moves for balance in the present minute.
 	churnAt time.Duration
 	churned int
@@ -39,8 +42,10 @@
 
 func (p *planState) init() {
 	p.at = -time.Hour
+	p.spreadAt = -time.Hour
 	p.adopting = true
 	p.filling = make(map[string]bool)
+	p.restUntil = make(map[keyspace.SliceID]time.Duration)
 	p.dirty = true
 	p.loads.init()
 }
--- a/core/cell/script_test.go
+++ b/core/cell/script_test.go
@@ -75,6 +75,9 @@
 		return s.until(strings.Join(f[1:], " "))
 	case "add":
 		s.add(arg(1))
+	case "hot":
+		w.step(n, n.inc, TargetReported{Target: n.target, Loads: s.hotLoad(n)})
+		w.step(n, n.inc, Poked{Poke{Epoch: n.m.epoch, Controller: n.m.leader}})
 	case "drains":
 		w.chaos.drainFor, _ = time.ParseDuration(arg(1))
 	case "pause":
@@ -123,6 +126,18 @@
 	return ""
 }
 
+// hotLoad reports much work on one slice of the node, most of it for one key.
+func (s *script) hotLoad(n *simNode) []SliceLoad {
+	for _, id := range sortedSlices(s.w.holders) {
+		for range 50 {
+			if key := s.w.hotKey(id); key != "" && s.w.holders[id].node.Name == n.name {
+				return []SliceLoad{{Slice: id, WorkMillis: 20000, Requests: 100, HotKey: key, HotShare: 900}}
+			}
+		}
+	}
+	return nil
+}
+
 func (s *script) target(n *simNode, what string) {
 	switch what {
 	case "kill":
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -79,7 +79,6 @@
 	sheet              int64
 	table              TableVersion
 	left               bool
-	drains             map[keyspace.SliceID]bool
 }
 
 type simObject struct {
@@ -172,7 +171,6 @@
 	n.watching = false
 	n.sheet, n.table = 0, TableVersion{}
 	n.seenCells = 0
-	n.drains = make(map[keyspace.SliceID]bool)
 	self := Member{
 		Node: Node{n.name, n.inc}, Address: n.name, EntryAddress: n.name + ":entry", Region: n.cell,
 		FailureDomain: n.domain, Target: n.target,
@@ -247,9 +245,8 @@
 		w.after(n.pausedUntil-w.t, func() { w.step(n, inc, e) })
 		return
 	}
-	if d, ok := e.(SliceDrained); ok {
+	if d, ok := e.(SliceDrained); ok && n.m.draining(d.Slice) {
 		w.ended(n, d.Slice)
-		delete(n.drains, d.Slice)
 	}
 	for _, effect := range n.m.Step(n.clock(w.t), e) {
 		w.carry(n, inc, effect)
@@ -257,6 +254,12 @@
 	w.checkNode(n)
 }
 
+// draining reports whether the machine still means to give the slice back.
+func (m *Machine) draining(id keyspace.SliceID) bool {
+	_, ok := m.holder.draining[id]
+	return ok
+}
+
 func (w *world) checkNode(n *simNode) {
 	v := n.m.View()
 	if v.Sheet != nil {
@@ -301,7 +304,6 @@
 			w.ended(n, id)
 		}
 	case DrainSlice:
-		n.drains[e.Slice] = true
 		w.drainLoop(n, inc, e.Slice)
 	case ProbePeer:
 		w.probePeer(n, inc, e.Peer)
@@ -407,7 +409,7 @@
 		return
 	}
 	for id, h := range w.holders {
-		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.drains[id] {
+		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.m.draining(id) {
 			continue
 		}
 		if r, busy := w.running[id]; !busy || r.until <= w.t {
