--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -44,6 +44,8 @@
 	staleSheet, pauseAtWrite float64
 	// runFor is how long requests run on targets, zero for none.
 	runFor time.Duration
+	// load is the share of ticks at which a node reports work.
+	load float64
 	// drainFor is how long a drain takes at least.
 	drainFor time.Duration
 }
@@ -77,7 +79,6 @@
 	sheet              int64
 	table              TableVersion
 	left               bool
-	drains             map[keyspace.SliceID]bool
 }
 
 type simObject struct {
@@ -155,13 +156,12 @@
 	}
 }
 
-func (w *world) addNode(name, domain, cellName string, rate float64, checks bool) *simNode {
+func (w *world) addNode(name, domain, cellName string, rate float64, checks bool) {
 	n := &simNode{name: name, domain: domain, cell: cellName, rate: rate, targetAlive: true}
 	n.target = Target{State: TargetReady, Incarnation: 1, Slots: 6, ChecksFences: checks, Address: name + ":target"}
 	w.nodes[name] = n
 	w.names = append(w.names, name)
 	w.start(n)
-	return n
 }
 
 // start begins a new process on the node's VM.
@@ -171,7 +171,6 @@
 	n.watching = false
 	n.sheet, n.table = 0, TableVersion{}
 	n.seenCells = 0
-	n.drains = make(map[keyspace.SliceID]bool)
 	self := Member{
 		Node: Node{n.name, n.inc}, Address: n.name, EntryAddress: n.name + ":entry", Region: n.cell,
 		FailureDomain: n.domain, Target: n.target,
@@ -188,7 +187,7 @@
 		return
 	}
 	if w.t >= n.pausedUntil {
-		w.step(n, inc, TargetReported{Target: n.target})
+		w.step(n, inc, TargetReported{Target: n.target, Loads: w.loads(n)})
 		w.step(n, inc, Tick{})
 		w.startRuns(n)
 	}
@@ -246,9 +245,8 @@
 		w.after(n.pausedUntil-w.t, func() { w.step(n, inc, e) })
 		return
 	}
-	if d, ok := e.(SliceDrained); ok {
+	if d, ok := e.(SliceDrained); ok && n.m.draining(d.Slice) {
 		w.ended(n, d.Slice)
-		delete(n.drains, d.Slice)
 	}
 	for _, effect := range n.m.Step(n.clock(w.t), e) {
 		w.carry(n, inc, effect)
@@ -256,6 +254,12 @@
 	w.checkNode(n)
 }
 
+// draining reports whether the machine still means to give the slice back.
+func (m *Machine) draining(id keyspace.SliceID) bool {
+	_, ok := m.holder.draining[id]
+	return ok
+}
+
 func (w *world) checkNode(n *simNode) {
 	v := n.m.View()
 	if v.Sheet != nil {
@@ -300,7 +304,6 @@
 			w.ended(n, id)
 		}
 	case DrainSlice:
-		n.drains[e.Slice] = true
 		w.drainLoop(n, inc, e.Slice)
 	case ProbePeer:
 		w.probePeer(n, inc, e.Peer)
@@ -339,6 +342,7 @@
 		w.fences[l.Slice] = l.Fence
 		w.holders[l.Slice] = simLease{node: self, fence: l.Fence, until: until}
 	}
+	w.checkHot()
 }
 
 func (w *world) ended(n *simNode, id keyspace.SliceID) {
@@ -348,13 +352,64 @@
 	}
 }
 
+// loads reports work on some held slices, now and then with a hot key.
+func (w *world) loads(n *simNode) []SliceLoad {
+	if w.chaos.load == 0 || w.rng.Float64() > w.chaos.load {
+		return nil
+	}
+	var loads []SliceLoad
+	for _, id := range sortedSlices(w.holders) {
+		h := w.holders[id]
+		if h.node != (Node{n.name, n.inc}) || h.until <= w.t {
+			continue
+		}
+		l := SliceLoad{Slice: id, WorkMillis: uint32(w.rng.IntN(3000)), Requests: 10}
+		l.HotKey, l.HotShare = w.hotKey(id), 800
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// hotKey returns a key of the slice, empty if a few tries find none.
+func (w *world) hotKey(id keyspace.SliceID) string {
+	for range 3 {
+		key := fmt.Sprintf("%c%d", 'a'+w.rng.IntN(26), w.rng.IntN(4))
+		for _, r := range w.sheets[len(w.sheets)-1].Services[0].Ranges {
+			if r.Contains(key) && r.SliceOf(key) == id {
+				return key
+			}
+		}
+	}
+	return ""
+}
+
+// checkHot checks that nobody serves a key with a slice of its own under its base slice
+// beside the holder of its own.
+func (w *world) checkHot() {
+	for _, o := range w.store.objects {
+		for i := range o.rec.Ranges {
+			rr := &o.rec.Ranges[i]
+			for j, key := range rr.Hot {
+				own := w.holders[keyspace.SliceID{Range: rr.Range.ID(), Index: rr.Range.Slices + uint32(j)}]
+				base := w.holders[rr.Range.SliceOf(key)]
+				if own.until <= w.t || base.until <= w.t || own.node.Name == base.node.Name {
+					continue
+				}
+				if n := w.nodes[base.node.Name]; n.m != nil && n.m.table.SliceOf(rr.Range, key) == rr.Range.SliceOf(key) {
+					w.violate("key %s: served by %s in its base slice and by %s in its own", key, base.node.Name, own.node.Name)
+				}
+			}
+		}
+	}
+}
+
 // startRuns lets the node's target execute a request of each slice now and then.
 func (w *world) startRuns(n *simNode) {
 	if !n.targetAlive || w.chaos.runFor == 0 {
 		return
 	}
 	for id, h := range w.holders {
-		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.drains[id] {
+		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.m.draining(id) {
 			continue
 		}
 		if r, busy := w.running[id]; !busy || r.until <= w.t {
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -122,7 +121,7 @@
 	s := n.settings
 	self := plane.Peer{
 		Name:          s.Node.Name,
-		Incarnation:   rand.Uint64(),
+		Incarnation:   control.NewIncarnation(),
 		Address:       s.Listen.AdvertisePeer,
 		EntryAddress:  s.Listen.AdvertiseEntry,
 		Region:        s.Node.Region,
@@ -177,10 +176,11 @@
 }
 
 func (n *Node) provisionServers() error {
-	n.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+	options := append(control.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
 		PermitWithoutStream: true,
 	}))
+	n.peers = grpc.NewServer(options...)
 	n.control.Register(n.peers)
 	sharing.NewServer(n.settings.Cluster.Name, n.settings.Node.Cell, n.owner).Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
