Let a whole cell stop: the controller goes last

Cause: when all nodes of a cell were stopped at once, the controller left first, since no standby could be named among leaving nodes; the others waited for a controller that none of them would become (demonstration: two or three nodes still ran 30 s after SIGTERM). Ruled out: the second signal that the fleet driver sent by mistake, mended before; the hang stayed. Now the controller waits for the nodes it hears, and a leaving node that holds nothing ends its leave when no controller answers for two leases.

--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -165,6 +165,7 @@
 }
 
 func (m *Machine) tick() {
+	m.leaveUnheard()
 	m.holderTick()
 	m.readTick()
 	m.standbyTick()
--- a/core/cell/moves.go
+++ b/core/cell/moves.go
@@ -209,6 +209,10 @@
 	if !m.leaving || len(c.routes.owned[m.self.Name]) > 0 || len(m.holder.held) > 0 {
 		return
 	}
+	if !c.resigned && m.rec.Standby.IsZero() && m.anyOtherLive() {
+		// All nodes leave: the controller goes last, for only it can take their slices back.
+		return
+	}
 	if c.resigned || m.rec.Standby.IsZero() {
 		c.resigned = true
 		m.leaveDone()
@@ -221,3 +225,26 @@
 	m.decide("resign", keyspace.SliceID{}, m.self.Name, "this node leaves")
 	m.ask(true)
 }
+
+// anyOtherLive reports whether another node of the cell was heard of late.
+func (m *Machine) anyOtherLive() bool {
+	for name, n := range m.ctl.members {
+		if name != m.self.Name && m.live(n) {
+			return true
+		}
+	}
+	return false
+}
+
+// leaveUnheard ends the leave of a node that holds nothing and that no controller answers: its
+// leases have lapsed, and whoever takes over finds that out by itself.
+func (m *Machine) leaveUnheard() {
+	h := &m.holder
+	if !m.leaving || m.ctl != nil || len(h.held) > 0 || m.now-h.heard < 2*m.timing.wait(m.timing.Lease) {
+		return
+	}
+	if !m.left {
+		m.decide("leave", keyspace.SliceID{}, m.self.Name, "nothing is held and no controller answers")
+	}
+	m.leaveDone()
+}
