Count overruns before judging offered work

Work offered after a piece of its class had run over was judged before the overrun was counted, so one more piece got a slot as short work (TestOverrunTurnsAClassLong failed first).

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -128,11 +128,11 @@
 
 // Offer decides on new work.
 func (q *Queue) Offer(now time.Duration, work Work) Decision {
+	q.checkOverruns(now)
 	it := &item{Work: work, arrived: now, expected: q.expectedWork(work.Class), long: q.isLong(work.Class)}
 	if work.Deadline != 0 && now >= work.Deadline {
 		return Decision{ID: work.ID, Verdict: Drop, Reason: outcome.ReasonDeadline}
 	}
-	q.checkOverruns(now)
 	if q.mayStart(now, it) && !q.anyWaitingBefore(it) {
 		q.start(now, it)
 		return Decision{ID: work.ID, Verdict: Start}
--- a/core/admission/rules_test.go
+++ b/core/admission/rules_test.go
@@ -139,3 +139,44 @@
 		t.Errorf("%d classes are remembered, want at most %d", len(l.classes), maxClasses)
 	}
 }
+
+// TestOverrunTurnsAClassLong lets one piece of a short class run on: before it has ended, the
+// class is held to the share of long work.
+func TestOverrunTurnsAClassLong(t *testing.T) {
+	q := taught(t, DefaultPolicy(), 6)
+	now := time.Second
+	for id := range uint64(4) {
+		wantVerdict(t, q.Offer(now, Work{ID: id, Class: shortClass, Key: id}), Start, "")
+	}
+	now += 40 * shortMean
+	wantVerdict(t, q.Offer(now, Work{ID: 9, Class: shortClass, Key: 9}), Wait, "")
+}
+
+// TestShortWorkIsShedByItsDelay lets work without a deadline wait behind others that do not end.
+func TestShortWorkIsShedByItsDelay(t *testing.T) {
+	q := taught(t, DefaultPolicy(), 1)
+	now := time.Second
+	wantVerdict(t, q.Offer(now, Work{ID: 1, Class: shortClass, Key: 1}), Start, "")
+	wantVerdict(t, q.Offer(now, Work{ID: 2, Class: shortClass, Key: 2}), Wait, "")
+	allowed := time.Duration(DefaultPolicy().DelayInterval * float64(shortMean))
+	if got := q.Next(now + allowed*9/10); len(got) != 0 {
+		t.Errorf("got %v before the allowed delay", got)
+	}
+	got := q.Next(now + allowed*11/10)
+	if len(got) != 1 {
+		t.Fatalf("got %v after the allowed delay", got)
+	}
+	wantVerdict(t, got[0], Drop, outcome.ReasonShed)
+}
+
+// TestHotKeyDoesNotLengthenTheQueue puts much work of one key in the queue: other work waits
+// only for a slot, so its tight deadline is no reason to refuse it.
+func TestHotKeyDoesNotLengthenTheQueue(t *testing.T) {
+	q := taught(t, DefaultPolicy(), 4)
+	now := time.Second
+	for id := range uint64(40) {
+		q.Offer(now, Work{ID: id, Class: shortClass, Key: 1})
+	}
+	wantVerdict(t, q.Offer(now, Work{ID: 100, Class: shortClass, Key: 2}), Start, "")
+	wantVerdict(t, q.Offer(now, Work{ID: 101, Class: shortClass, Key: 3, Deadline: now + 3*shortMean}), Wait, "")
+}
