--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -277,3 +277,16 @@
 		t.Errorf("reading did not start anew: %+v", again)
 	}
 }
+
+// TestOldMeasurementGivesWay measures a target again after a long time: the new answer counts,
+// not the old ones.
+func TestOldMeasurementGivesWay(t *testing.T) {
+	p := New(DefaultPolicy())
+	c := Candidate{Name: "a", Near: true, Slots: 6, Ready: true}
+	p.Finished(time.Minute, c, time.Second, true, true)
+	later := time.Minute + 2*DefaultPolicy().Forget
+	p.Finished(later, c, 10*time.Millisecond, true, true)
+	if got := p.expectedLatency(later, p.record(later, c)); got > 0.011 {
+		t.Errorf("expected latency %.3f s", got)
+	}
+}
--- a/core/outcome/window.go
+++ b/core/outcome/window.go
@@ -159,7 +159,7 @@
 	if !known || !e.running {
 		return
 	}
-	if !end.Final() || id.Time() < w.floor {
+	if !end.Final() {
 		delete(w.entries, id)
 		return
 	}
--- a/core/outcome/window_test.go
+++ b/core/outcome/window_test.go
@@ -55,6 +55,9 @@
 	case "begin":
 		now, id := parseTimeID(t, words)
 		return describe((*w).Begin(id, epoch.Add(now)))
+	case "begin-first":
+		now, id := parseTimeID(t, words)
+		return describe((*w).BeginFirst(id, epoch.Add(now)))
 	case "finish":
 		_, id := parseTimeID(t, words)
 		var answer *Answer
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -22,7 +22,8 @@
 	for i := range all {
 		all[i] = p.Stream()
 	}
-	for {
+	// An unpaced stream would send without end.
+	for range 100_000 {
 		next := 0
 		for i := range ready {
 			if ready[i] < ready[next] {
