--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -109,10 +109,11 @@
 	return c
 }
 
-// Merge takes in entries that other nodes of the cell published; the later change wins.
+// Merge takes in the cell's entries; the later change wins. At equal times the cell's entry wins:
+// it holds this node's own change and those of others.
 func (t *Tracker) Merge(entries []Entry) {
 	for _, in := range entries {
-		if e, known := t.entries[in.Fingerprint]; known && !e.Last.Before(in.Last) {
+		if e, known := t.entries[in.Fingerprint]; known && in.Last.Before(e.Last) {
 			continue
 		}
 		t.entries[in.Fingerprint] = &in
