Leave the sharing of bans to node/sharing; give changes the resolution of the wire

Times of changes are cut to milliseconds, as the wire carries them, so that a node's own change comes back equal.

--- a/core/quarantine/entry.go
+++ b/core/quarantine/entry.go
@@ -64,6 +64,10 @@
 	Cleared
 )
 
+// resolution is that of the times of changes, so that a change is equal to itself wherever it was
+// sent.
+const resolution = time.Millisecond
+
 // Change is one event that the nodes of a cell share.
 type Change struct {
 	Fingerprint Fingerprint
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -75,7 +75,7 @@
 	if !well || !known || e.Crashes == 0 {
 		return nil
 	}
-	return []Change{t.apply(Change{Fingerprint: f, Kind: Cleared, At: now})}
+	return []Change{t.apply(Change{Fingerprint: f, Kind: Cleared, At: now.Truncate(resolution)})}
 }
 
 // Crash blames what was in flight when the target's process ended, and returns the changes to
@@ -93,7 +93,7 @@
 	}
 	changes := make([]Change, 0, len(blamed))
 	for _, f := range blamed {
-		changes = append(changes, t.apply(Change{Fingerprint: f, Kind: Crashed, At: now}))
+		changes = append(changes, t.apply(Change{Fingerprint: f, Kind: Crashed, At: now.Truncate(resolution)}))
 	}
 	t.forgetOldest()
 	return changes
--- a/node/owner/holder.go
+++ b/node/owner/holder.go
@@ -13,15 +13,10 @@
 func (o *Owner) Adopt(leases []plane.Lease) {
 	now := o.cfg.Clock()
 	o.mu.Lock()
-	held := len(o.slices)
 	for _, lease := range leases {
 		o.adopt(now, lease)
 	}
-	more := len(o.slices) > held
 	o.mu.Unlock()
-	if more {
-		o.refresh()
-	}
 	o.requestPush()
 }
 
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -36,12 +36,10 @@
 	Subscribe(listener func(target.Event))
 }
 
-// Sharer carries what this node learned of crashes to the other nodes of the cell, and what they
-// learned to MergeQuarantine. Its methods must not block.
+// Sharer carries what this node learned of crashes to the other nodes of the cell. Share must
+// not block.
 type Sharer interface {
 	Share(changes []quarantine.Change)
-	// Refresh asks for what the cell knows.
-	Refresh()
 }
 
 // Config holds the settings of an Owner.
@@ -205,13 +203,6 @@
 	}
 }
 
-// refresh asks what the cell knows of crashes when work may come that crashed a target elsewhere.
-func (o *Owner) refresh() {
-	if o.cfg.Sharer != nil {
-		o.cfg.Sharer.Refresh()
-	}
-}
-
 // MergeQuarantine takes in the cell's suspects and bans.
 func (o *Owner) MergeQuarantine(entries []quarantine.Entry) {
 	o.mu.Lock()
--- a/node/owner/serve.go
+++ b/node/owner/serve.go
@@ -80,9 +80,6 @@
 func (r *run) enter() *outcome.End {
 	q := r.request
 	o := r.owner
-	if q.Attempt > 1 && q.Range.Kind == keyspace.Shared {
-		o.refresh()
-	}
 	r.fingerprint = quarantine.FingerprintOf(q.Service, q.Method, q.Key, q.Path)
 	if end := o.targetEnd(); end != nil {
 		return end
