--- a/core/account/account.go
+++ b/core/account/account.go
@@ -51,17 +51,15 @@
 	)
 }
 
-// Totals are counts of outcomes, and the work done.
+// Totals are counts of outcomes.
 type Totals struct {
 	Answered int64 `json:"answered"`
 	NotRun   int64 `json:"not_run"`
 	Unknown  int64 `json:"unknown"`
-	// WorkMillis is the time that targets worked, in milliseconds.
-	WorkMillis int64 `json:"work_ms"`
 }
 
-// Add adds one outcome and the work of its request.
-func (t *Totals) Add(o outcome.Outcome, work time.Duration) {
+// Add adds one outcome.
+func (t *Totals) Add(o outcome.Outcome) {
 	switch o {
 	case outcome.Answered:
 		t.Answered++
@@ -70,7 +68,6 @@
 	default:
 		t.Unknown++
 	}
-	t.WorkMillis += work.Milliseconds()
 }
 
 // Merge adds the totals of o.
@@ -78,7 +75,6 @@
 	t.Answered += o.Answered
 	t.NotRun += o.NotRun
 	t.Unknown += o.Unknown
-	t.WorkMillis += o.WorkMillis
 }
 
 // Requests returns the number of requests counted.
--- a/core/account/reporter.go
+++ b/core/account/reporter.go
@@ -87,3 +87,6 @@
 
 // HasUnsent reports whether reports wait to be sent.
 func (r *Reporter) HasUnsent() bool { return r.next-1 > r.accepted }
+
+// Unbooked returns the number of reports that are kept.
+func (r *Reporter) Unbooked() int { return len(r.kept) }
--- a/core/cell/types.go
+++ b/core/cell/types.go
@@ -50,6 +50,7 @@
 	Node
 	Address       string `json:"address"`
 	EntryAddress  string `json:"entry_address"`
+	AdminAddress  string `json:"admin_address"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
 	Target        Target `json:"target"`
--- a/core/cell/view.go
+++ b/core/cell/view.go
@@ -29,7 +29,9 @@
 type Status struct {
 	Epoch      uint64
 	Controller Node
-	Standby    Node
+	// Leader is the controller with its addresses.
+	Leader  Member
+	Standby Node
 	// IsController tells that this node is the controller, HasAuthority that it may grant.
 	IsController bool
 	HasAuthority bool
@@ -47,7 +49,7 @@
 
 // Status returns the machine's state.
 func (m *Machine) Status() Status {
-	s := Status{Epoch: m.epoch, Controller: m.leader.Node, StoreDown: m.storeDown, Held: len(m.holder.held)}
+	s := Status{Epoch: m.epoch, Controller: m.leader.Node, Leader: m.leader, StoreDown: m.storeDown, Held: len(m.holder.held)}
 	s.InDoubt = m.write != nil && m.write.unknown
 	if m.rec != nil && m.rec.Epoch == m.epoch {
 		s.Standby = m.rec.Standby
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -60,6 +60,7 @@
 
 	statusMu sync.Mutex
 	status   Status
+	leader   plane.Peer
 }
 
 // eventQueue is the number of events that may wait for the loop.
--- a/node/control/convert.go
+++ b/node/control/convert.go
@@ -10,14 +10,14 @@
 
 func memberOf(p plane.Peer) cell.Member {
 	return cell.Member{
-		Node: nodeOf(p), Address: p.Address, EntryAddress: p.EntryAddress,
+		Node: nodeOf(p), Address: p.Address, EntryAddress: p.EntryAddress, AdminAddress: p.AdminAddress,
 		Region: p.Region, FailureDomain: p.FailureDomain, Target: targetOf(p.Target),
 	}
 }
 
 func peerOf(m cell.Member, cellName string) plane.Peer {
 	return plane.Peer{
-		Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, EntryAddress: m.EntryAddress,
+		Name: m.Name, Incarnation: m.Incarnation, Address: m.Address, EntryAddress: m.EntryAddress, AdminAddress: m.AdminAddress,
 		Region: m.Region, FailureDomain: m.FailureDomain, Cell: cellName, Target: reportOf(m.Target),
 	}
 }
--- a/node/control/status.go
+++ b/node/control/status.go
@@ -54,6 +54,14 @@
 	return s
 }
 
+// Controller returns the controller of the node's cell as of the last tick; its name is
+// empty when it is not known.
+func (c *Control) Controller() plane.Peer {
+	c.statusMu.Lock()
+	defer c.statusMu.Unlock()
+	return c.leader
+}
+
 func (c *Control) publishStatus() {
 	m := c.machine.Status()
 	s := Status{
@@ -73,6 +81,7 @@
 	c.metrics.observe(m)
 	c.statusMu.Lock()
 	c.status = s
+	c.leader = peerOf(m.Leader, c.cfg.Cell)
 	c.statusMu.Unlock()
 }
 
--- /dev/null
+++ b/node/ledger/counter.go
@@ -0,0 +1,77 @@
+package ledger
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/auburnrelay/auburnrelay/core/account"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// shardCount spreads counting over several locks.
+const shardCount = 32
+
+// cacheLine keeps two shards off one cache line, in bytes.
+const cacheLine = 64
+
+// lineKey identifies a line without its texts.
+type lineKey struct {
+	id    keyspace.RangeID
+	sheet int64
+	line  int
+}
+
+type lineCount struct {
+	line account.Line
+	account.Totals
+}
+
+type shard struct {
+	mu    sync.Mutex
+	lines map[lineKey]*lineCount
+	_     [cacheLine]byte
+}
+
+// counter counts outcomes by line. It is safe for concurrent use.
+type counter struct{ shards [shardCount]shard }
+
+func (c *counter) add(r keyspace.Range, id keyspace.RangeID, sheet int64, o outcome.Outcome) {
+	key := lineKey{id: id, sheet: sheet, line: r.Line}
+	s := &c.shards[rand.Uint32()%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := s.lines[key]
+	if count == nil {
+		count = s.begin(key, account.LineOf(r, id, sheet))
+	}
+	count.Add(o)
+}
+
+func (s *shard) begin(key lineKey, line account.Line) *lineCount {
+	if s.lines == nil {
+		s.lines = map[lineKey]*lineCount{}
+	}
+	count := &lineCount{line: line}
+	s.lines[key] = count
+	return count
+}
+
+// take returns the counts since the last call.
+func (c *counter) take() []account.Count {
+	all := account.Counts{}
+	for i := range c.shards {
+		for _, count := range c.shards[i].take() {
+			all.Merge([]account.Count{{Line: count.line, Totals: count.Totals}})
+		}
+	}
+	return all.Sorted()
+}
+
+func (s *shard) take() map[lineKey]*lineCount {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lines := s.lines
+	s.lines = nil
+	return lines
+}
--- /dev/null
+++ b/node/ledger/metrics.go
@@ -0,0 +1,52 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the ledger's own; a nil registry leaves them unregistered.
+type metrics struct {
+	unbooked prometheus.Gauge
+	reports  *prometheus.CounterVec
+	segments *prometheus.CounterVec
+	lastAt   prometheus.Gauge
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		unbooked: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "auburnrelay_account_unbooked_reports", Help: "Reports that are not in the store yet.",
+		}),
+		reports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "auburnrelay_account_reports_total", Help: "Messages to the controller by result.",
+		}, []string{"result"}),
+		segments: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "auburnrelay_account_segments_total", Help: "Segments that this node tried to write, by result.",
+		}, []string{"result"}),
+		lastAt: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "auburnrelay_account_last_segment_seconds", Help: "Wall time of the last segment that this node wrote.",
+		}),
+	}
+	if registry != nil {
+		registry.MustRegister(m.unbooked, m.reports, m.segments, m.lastAt)
+	}
+	return m
+}
+
+func (m *metrics) sent(err error) { m.reports.WithLabelValues(resultOf(err)).Inc() }
+
+func (m *metrics) failed() { m.segments.WithLabelValues("failed").Inc() }
+
+func (m *metrics) wrote(at time.Time) {
+	m.segments.WithLabelValues("written").Inc()
+	m.lastAt.Set(float64(at.Unix()))
+}
+
+func resultOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "taken"
+}
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,7 @@
 		Incarnation:   rand.Uint64(),
 		Address:       s.Listen.AdvertisePeer,
 		EntryAddress:  s.Listen.AdvertiseEntry,
+		AdminAddress:  s.Listen.AdvertiseAdmin,
 		Region:        s.Node.Region,
 		FailureDomain: s.Node.FailureDomain,
 		Cell:          s.Node.Cell,
--- a/node/plane/plane.go
+++ b/node/plane/plane.go
@@ -26,7 +26,9 @@
 	// Address is the IP address and port of the node's gRPC listener.
 	Address string
 	// EntryAddress is the IP address and port of the node's callers' listener.
-	EntryAddress  string
+	EntryAddress string
+	// AdminAddress is the IP address and port of the node's admin listener.
+	AdminAddress  string
 	Region        string
 	FailureDomain string
 	Cell          string
--- a/wire/cellwire/cellwire.go
+++ b/wire/cellwire/cellwire.go
@@ -28,7 +28,7 @@
 // MemberToWire writes a node with its addresses.
 func MemberToWire(m cell.Member) *pb.CellMember {
 	return &pb.CellMember{
-		Node: nodeToWire(m.Node), Address: m.Address, EntryAddress: m.EntryAddress,
+		Node: nodeToWire(m.Node), Address: m.Address, EntryAddress: m.EntryAddress, AdminAddress: m.AdminAddress,
 		Region: m.Region, FailureDomain: m.FailureDomain, Target: targetToWire(m.Target),
 	}
 }
@@ -36,7 +36,7 @@
 // MemberFromWire reads what MemberToWire wrote.
 func MemberFromWire(m *pb.CellMember) cell.Member {
 	return cell.Member{
-		Node: NodeFromWire(m.GetNode()), Address: m.GetAddress(), EntryAddress: m.GetEntryAddress(),
+		Node: NodeFromWire(m.GetNode()), Address: m.GetAddress(), EntryAddress: m.GetEntryAddress(), AdminAddress: m.GetAdminAddress(),
 		Region: m.GetRegion(), FailureDomain: m.GetFailureDomain(), Target: targetFromWire(m.GetTarget()),
 	}
 }
