--- /dev/null
+++ b/cmd/auburnrelay/audit/audit.go
@@ -0,0 +1,232 @@
+// Package audit reads the segments of the account from the store, checks them and adds
+// them up.
+package audit
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/account"
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/sheet"
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+const (
+	// cellsPrefix starts the keys of the cells' records.
+	cellsPrefix = "cells/"
+	// blockDigits is the number of a segment's digits that one listing leaves open, so that
+	// a listing holds at most a hundred segments.
+	blockDigits = 2
+	blockSize   = 100
+	// monthsAhead bounds the search for the month that followed.
+	monthsAhead = 13
+)
+
+// ErrMonth reports text that is not a month.
+var ErrMonth = errors.New("not a month, such as 2026-11")
+
+// Cell is the audit of one cell's month.
+type Cell struct {
+	Name     string              `json:"name"`
+	Segments uint64              `json:"segments"`
+	Faults   []account.Fault     `json:"faults"`
+	Gaps     []account.MarkedGap `json:"gaps"`
+	rows     []account.Row
+}
+
+// Month is the account of one month.
+type Month struct {
+	Month string        `json:"month"`
+	Rows  []account.Row `json:"rows"`
+	Cells []Cell        `json:"cells"`
+}
+
+// Faults returns the faults of all cells.
+func (m Month) Faults() []account.Fault {
+	var all []account.Fault
+	for _, c := range m.Cells {
+		all = append(all, c.Faults...)
+	}
+	return all
+}
+
+// Reader reads the account.
+type Reader struct {
+	Store platform.Store
+	Now   func() time.Time
+}
+
+// Read returns the account of a month over all cells that have a record or that the
+// accepted sheet names. It fails with ErrMonth or the store's errors.
+func (r Reader) Read(ctx context.Context, month string) (Month, error) {
+	start, err := time.Parse(account.MonthFormat, month)
+	if err != nil {
+		return Month{}, errors.Wrapf(ErrMonth, "%q", month)
+	}
+	names, err := r.cells(ctx)
+	if err != nil {
+		return Month{}, err
+	}
+	m := Month{Month: month}
+	var rows [][]account.Row
+	for _, name := range names {
+		c, err := r.cell(ctx, name, start)
+		if err != nil {
+			return Month{}, errors.Wrapf(err, "cell %s", name)
+		}
+		m.Cells = append(m.Cells, c)
+		rows = append(rows, c.rows)
+	}
+	m.Rows = account.MergeRows(rows...)
+	return m, nil
+}
+
+// cells returns the names of all known cells.
+func (r Reader) cells(ctx context.Context) ([]string, error) {
+	listing, err := r.Store.List(ctx, cellsPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list the cells")
+	}
+	var names []string
+	for _, object := range listing.Objects {
+		if record, err := cell.DecodeRecord(object.Value); err == nil {
+			names = append(names, record.Cell)
+		}
+	}
+	inSheet, err := r.sheetCells(ctx)
+	if err != nil {
+		return nil, err
+	}
+	names = append(names, inSheet...)
+	slices.Sort(names)
+	return slices.Compact(names), nil
+}
+
+func (r Reader) sheetCells(ctx context.Context) ([]string, error) {
+	object, err := r.Store.Get(ctx, sheet.KeyCurrent)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the accepted sheet")
+	}
+	current, err := sheet.DecodeObject(object.Value, int64(object.Version))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, service := range current.Layout.Services {
+		for _, rng := range service.Ranges {
+			if rng.Cell != "" {
+				names = append(names, rng.Cell)
+			}
+		}
+	}
+	return names, nil
+}
+
+func (r Reader) cell(ctx context.Context, name string, start time.Time) (Cell, error) {
+	month := account.MonthOf(start)
+	previous, err := r.previous(ctx, name, month)
+	if err != nil {
+		return Cell{}, err
+	}
+	next, err := r.next(ctx, name, start)
+	if err != nil {
+		return Cell{}, err
+	}
+	a := account.NewAudit(name, month, previous)
+	if err := r.addSegments(ctx, a, name, month, next.ID.Number); err != nil {
+		return Cell{}, err
+	}
+	a.End(next)
+	return Cell{Name: name, Segments: a.Segments(), Faults: a.Faults(), Gaps: a.Gaps(), rows: a.Rows()}, nil
+}
+
+// addSegments adds the month's segments up to the last number known, or up to the first
+// hundred that is empty.
+func (r Reader) addSegments(ctx context.Context, a *account.Audit, name, month string, last uint64) error {
+	prefix := account.MonthPrefix(name, month)
+	for block := uint64(0); ; block++ {
+		listing, err := r.Store.List(ctx, blockPrefix(name, month, block))
+		if err != nil {
+			return errors.Wrap(err, "list segments")
+		}
+		for _, object := range listing.Objects {
+			number, err := strconv.ParseUint(strings.TrimPrefix(object.Key, prefix), 10, 64)
+			if err == nil {
+				a.Add(number, object.Value)
+			}
+		}
+		if len(listing.Objects) == 0 && (block+1)*blockSize > last {
+			return nil
+		}
+	}
+}
+
+func blockPrefix(name, month string, block uint64) string {
+	first := account.ID{Cell: name, Month: month, Number: block * blockSize}.Key()
+	return first[:len(first)-blockDigits]
+}
+
+// previous returns the segment that the month's first one follows, nil if there is none
+// that can be read.
+func (r Reader) previous(ctx context.Context, name, month string) (*account.Sealed, error) {
+	first, err := r.get(ctx, account.ID{Cell: name, Month: month, Number: 1})
+	if err != nil || first == nil || first.Previous == nil {
+		return nil, err
+	}
+	return r.get(ctx, first.Previous.ID)
+}
+
+// next returns the link by which the following month's first segment names this month's
+// last one; the zero link if there is no later month yet.
+func (r Reader) next(ctx context.Context, name string, start time.Time) (account.Link, error) {
+	for ahead := 1; ahead <= monthsAhead; ahead++ {
+		month := start.AddDate(0, ahead, 0)
+		if month.After(r.Now()) {
+			break
+		}
+		first, err := r.get(ctx, account.ID{Cell: name, Month: account.MonthOf(month), Number: 1})
+		if err != nil {
+			return account.Link{}, err
+		}
+		if first != nil && first.Previous != nil {
+			return *first.Previous, nil
+		}
+	}
+	return account.Link{}, nil
+}
+
+// get returns a segment, nil if there is none or it cannot be read.
+func (r Reader) get(ctx context.Context, id account.ID) (*account.Sealed, error) {
+	object, err := r.Store.Get(ctx, id.Key())
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "read segment %s", id)
+	}
+	sealed, err := account.Unseal(object.Value)
+	if err != nil {
+		return nil, nil //nolint:nilerr // The audit of the segment's own month names it.
+	}
+	return &sealed, nil
+}
+
+// DescribeGap returns a gap as one line of text.
+func DescribeGap(g account.MarkedGap) string {
+	until := ""
+	if g.Before > 0 {
+		until = fmt.Sprintf(" and before report %d", g.Before)
+	}
+	return fmt.Sprintf("node %s, process %d: counts after report %d (%s)%s may be missing: %s; marked by segment %s",
+		g.Node, g.Incarnation, g.After, g.Since.UTC().Format(time.RFC3339), until, g.Reason, g.Segment)
+}
--- a/cmd/auburnrelay/command/command.go
+++ b/cmd/auburnrelay/command/command.go
@@ -67,7 +67,7 @@
 	root.SetOut(d.Out)
 	root.SetErr(d.Err)
 	root.PersistentFlags().StringVar(&p.storeURL, "store", d.StoreURL, "URL of the object store")
-	root.AddCommand(p.nodeCommand(), p.configCommand(), p.sheetCommand())
+	root.AddCommand(p.nodeCommand(), p.configCommand(), p.sheetCommand(), p.accountCommand())
 	return root
 }
 
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"os"
 
-	"github.com/auburnrelay/auburnrelay/core/keyspace"
-	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/settings"
 	"github.com/auburnrelay/auburnrelay/platform/httpstore"
 )
@@ -33,9 +31,3 @@
 	}
 	return slog.New(slog.NewTextHandler(os.Stderr, options))
 }
-
-// uncounted is the ledger of a node that keeps no account.
-type uncounted struct{}
-
-// Count does nothing.
-func (uncounted) Count(keyspace.Range, outcome.Outcome) {}
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -38,7 +38,7 @@
 
 // Ledger counts the outcomes of callers' requests for the account.
 type Ledger interface {
-	Count(rng keyspace.Range, result outcome.Outcome)
+	Count(route plane.Route, result outcome.Outcome)
 }
 
 // Forwarder sends a request to another node.
@@ -115,7 +115,7 @@
 		r.Slice = route.Slice
 		result, owner := t.once(route)
 		if !t.again(result, owner, changed) {
-			d.ledger.Count(r.Range, result.Outcome)
+			d.ledger.Count(route, result.Outcome)
 			return result, nil
 		}
 	}
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -85,7 +85,7 @@
 	return s.granted >= 0
 }
 
-func (s *script) Count(_ keyspace.Range, result outcome.Outcome) {
+func (s *script) Count(_ plane.Route, result outcome.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counted = append(s.counted, result)
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -47,9 +47,10 @@
 	Controller() plane.Peer
 }
 
-// Dialer opens connections to other nodes.
-type Dialer interface {
-	Conn(address string) (grpc.ClientConnInterface, error)
+// Connections holds the connections to other nodes.
+type Connections interface {
+	// Acquire returns the connection to an address and a function that gives it back.
+	Acquire(address string) (*grpc.ClientConn, func(), error)
 }
 
 // Ledger is one node's part in the account. It is safe for concurrent use.
@@ -58,7 +59,7 @@
 
 	config    Config
 	directory Directory
-	dialer    Dialer
+	peers     Connections
 	log       *slog.Logger
 	metrics   *metrics
 	counter   counter
@@ -73,8 +74,8 @@
 }
 
 // New returns a ledger over the store.
-func New(config Config, store platform.Store, directory Directory, dialer Dialer) *Ledger {
-	l := &Ledger{config: config, directory: directory, dialer: dialer, log: config.Logger}
+func New(config Config, store platform.Store, directory Directory, peers Connections) *Ledger {
+	l := &Ledger{config: config, directory: directory, peers: peers, log: config.Logger}
 	l.metrics = newMetrics(config.Registry)
 	l.reporter = account.NewReporter(l.process(), config.Now())
 	l.collecting.store = store
@@ -177,10 +178,11 @@
 	if l.leads(controller) {
 		return l.offer(batch)
 	}
-	conn, err := l.dialer.Conn(controller.Address)
+	conn, release, err := l.peers.Acquire(controller.Address)
 	if err != nil {
 		return account.Ack{}, account.ID{}, err
 	}
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request := batchToWire(l.config.Cluster, l.config.Self.Cell, batch)
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/auburnrelay/auburnrelay/node/control"
 	"github.com/auburnrelay/auburnrelay/node/entry"
 	"github.com/auburnrelay/auburnrelay/node/forward"
+	"github.com/auburnrelay/auburnrelay/node/ledger"
 	"github.com/auburnrelay/auburnrelay/node/owner"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/node/settings"
@@ -51,6 +52,7 @@
 	owner     *owner.Owner
 	control   *control.Control
 	pool      *forward.Pool
+	ledger    *ledger.Ledger
 	dispatch  *entry.Dispatcher
 	entry     *http.Server
 	admin     *http.Server
@@ -139,6 +141,7 @@
 func (n *Node) provisionEntry() error {
 	s := n.settings
 	n.pool = forward.NewPool(s.Limits.PeerConnections, grpc.WithContextDialer(dialFrom(s.Listen.Peer)))
+	n.ledger = n.newLedger()
 	policy := retry.DefaultPolicy()
 	policy.Ratio = s.Load.RetryShare
 	n.dispatch = entry.NewDispatcher(
@@ -149,7 +152,7 @@
 			Remote:  forward.NewClient(s.Cluster.Name, n.pool),
 			Chooser: &lockedChooser{region: s.Node.Region, picker: balance.New(balance.DefaultPolicy())},
 			Budget:  &lockedBudget{budget: retry.New(policy)},
-			Ledger:  uncounted{},
+			Ledger:  n.ledger,
 			Log:     n.log.With("part", "entry"),
 		})
 	limits := entry.Limits{
@@ -162,12 +165,27 @@
 	return nil
 }
 
+func (n *Node) newLedger() *ledger.Ledger {
+	account := n.settings.Account
+	return ledger.New(ledger.Config{
+		Cluster:         n.settings.Cluster.Name,
+		Self:            n.control.Self(),
+		ReportInterval:  account.ReportInterval.Std(),
+		SegmentInterval: account.SegmentInterval.Std(),
+		Silence:         account.Silence.Std(),
+		Logger:          n.log.With("part", "account"),
+		Registry:        n.registry,
+		Now:             time.Now,
+	}, n.store, n.control, n.pool)
+}
+
 func (n *Node) provisionServers() error {
 	n.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
 		PermitWithoutStream: true,
 	}))
 	n.control.Register(n.peers)
+	n.ledger.Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
 	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
 	n.admin = newAdminServer(adminSource{ready: n.ready, status: n.status, gatherer: n.registry})
--- a/node/run.go
+++ b/node/run.go
@@ -27,6 +27,7 @@
 	var group run.Group
 	group.Add(n.untilSignal(ctx))
 	group.Add(serveHTTP(n.entry, n.listeners.entry))
+	group.Add(n.runLedger())
 	group.Add(servePeers(n.peers, n.listeners.peer))
 	for _, loop := range []func(context.Context) error{n.control.Run, n.owner.Run, n.link.Run} {
 		group.Add(untilCancelled(loop))
@@ -101,6 +102,22 @@
 	return execute, interrupt
 }
 
+// runLedger runs the ledger until the callers' listener is closed, and then reports the
+// last counts.
+func (n *Node) runLedger() (func() error, func(error)) {
+	execute, cancel := untilCancelled(n.ledger.Run)
+	interrupt := func(cause error) {
+		cancel(cause)
+		if errors.Is(cause, ErrForced) {
+			return
+		}
+		ctx, stop := context.WithTimeout(context.Background(), shutdownWait)
+		defer stop()
+		n.ledger.Close(ctx)
+	}
+	return execute, interrupt
+}
+
 func servePeers(server *grpc.Server, listener net.Listener) (func() error, func(error)) {
 	execute := func() error { return server.Serve(listener) }
 	interrupt := func(cause error) {
--- a/node/settings/defaults.go
+++ b/node/settings/defaults.go
@@ -14,6 +14,11 @@
 		Target: defaultTarget(),
 		Timing: defaultTiming(),
 		Load:   defaultLoad(),
+		Account: Account{
+			ReportInterval:  Duration(10 * time.Second),
+			SegmentInterval: Duration(time.Minute),
+			Silence:         Duration(5 * time.Minute),
+		},
 		Log:    Log{Format: "text", Level: "info", DecisionSample: 1000},
 		Limits: defaultLimits(),
 	}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -18,6 +18,7 @@
 	Target  Target     `toml:"target"`
 	Timing  Timing     `toml:"timing"`
 	Load    LoadPolicy `toml:"load"`
+	Account Account    `toml:"account"`
 	Log     Log        `toml:"log"`
 	Limits  Limits     `toml:"limits"`
 }
@@ -133,6 +134,17 @@
 	RegionLinkMbits float64 `toml:"region_link_mbits" validate:"gt=0"`
 }
 
+// Account says how the node takes part in the account.
+type Account struct {
+	// ReportInterval is the time between two reports to the controller: what a node counted
+	// since its last report is lost with it.
+	ReportInterval Duration `toml:"report_interval" validate:"gt=0"`
+	// SegmentInterval is the time between two segments that the controller writes.
+	SegmentInterval Duration `toml:"segment_interval" validate:"gt=0"`
+	// Silence is the time without a report after which a gap is marked for a node.
+	Silence Duration `toml:"silence" validate:"gt=0"`
+}
+
 // Log says what the node logs and how.
 type Log struct {
 	// Format is "text" or "json".
--- a/node/settings/validate.go
+++ b/node/settings/validate.go
@@ -56,6 +56,9 @@
 	if s.Timing.Lease < 3*s.Timing.Tick {
 		faults = append(faults, Fault{Path: "timing.lease", Problem: "must be at least three times timing.tick"})
 	}
+	if s.Account.Silence < 3*s.Account.ReportInterval {
+		faults = append(faults, Fault{Path: "account.silence", Problem: "must be at least three times account.report_interval"})
+	}
 	if s.Timing.Lease < s.Timing.Promise {
 		faults = append(faults, Fault{Path: "timing.lease", Problem: "must be at least timing.promise"})
 	}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -50,6 +50,13 @@
 manuals,shared,,,alfold,,,1
 `
 
+// quickAccount lets the account show within seconds what it shows within a minute by default.
+const quickAccount = `[account]
+report_interval = "500ms"
+segment_interval = "1s"
+silence = "3s"
+`
+
 func vms(miswire bool) []fleet.VM {
 	list := []fleet.VM{
 		{Name: "debrecen-1", Region: "alfold", FailureDomain: "debrecen"},
@@ -91,7 +98,9 @@
 	d := &demo{options: options, began: time.Now(), owners: map[string]served{}}
 	d.caller.http.Timeout = deadline + time.Second
 	d.say("settings and logs in %s", dir)
-	d.fleet, err = fleet.Start(fleet.Plan{Bin: options.Bin, Dir: dir, VMs: vms(options.Miswire)})
+	d.fleet, err = fleet.Start(fleet.Plan{
+		Bin: options.Bin, Dir: dir, VMs: vms(options.Miswire), Settings: quickAccount,
+	})
 	if err != nil {
 		return err
 	}
@@ -108,7 +117,7 @@
 
 func (d *demo) steps() error {
 	d.say("started the store, %d nodes and their targets", len(d.fleet.Nodes))
-	for _, step := range []func() error{d.applySheet, d.serveAll, d.lookUp, d.loseVM, d.checkLogs} {
+	for _, step := range []func() error{d.applySheet, d.serveAll, d.lookUp, d.loseVM, d.checkLogs, d.showAccount} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -300,6 +309,22 @@
 	return nil
 }
 
+// showAccount prints the month's account, which marks what the lost node had not reported.
+func (d *demo) showAccount() error {
+	month := time.Now().UTC().Format("2006-01")
+	var out string
+	err := fleet.Await(15*time.Second, func() bool {
+		var err error
+		out, err = d.fleet.Relay("account", "--month", month)
+		return err == nil && strings.Contains(out, "booking") && strings.Contains(out, "gap: node "+lostVM)
+	})
+	if err != nil {
+		return errors.Wrapf(ErrBroken, "account of %s: %v: %s", month, err, out)
+	}
+	d.say("account of %s:\n%s", month, strings.TrimSpace(out))
+	return nil
+}
+
 func (d *demo) stop() error {
 	if err := d.fleet.Stop(); err != nil {
 		return errors.Wrapf(ErrBroken, "not a clean stop: %v", err)
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -22,8 +22,9 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 
-	mu  sync.Mutex
-	err error
+	mu    sync.Mutex
+	asked bool
+	err   error
 }
 
 // start runs the program at path; its output goes to dir/name.log.
@@ -76,11 +77,21 @@
 // Resume lets a paused process run on.
 func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
 
-// Terminate asks the process to stop gracefully.
-func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+// Terminate asks the process to stop gracefully. It asks once only, for a second signal
+// would end a node at once.
+func (p *Process) Terminate() error {
+	p.mu.Lock()
+	asked := p.asked
+	p.asked = true
+	p.mu.Unlock()
+	if asked {
+		return nil
+	}
+	return p.cmd.Process.Signal(syscall.SIGTERM)
+}
 
-// Stop asks the process to stop and waits. It fails with ErrStillRuns after the wait, or
-// with the process's own error.
+// Stop asks the process to stop, unless it was asked before, and waits. It fails with
+// ErrStillRuns after the wait, or with the process's own error.
 func (p *Process) Stop(wait time.Duration) error {
 	if p.Running() {
 		if err := p.Terminate(); err != nil && !errors.Is(err, os.ErrProcessDone) {
