Plan stops of targets, VMs and failure domains

core/stop holds the object that operators write, the progress that each cell's controller writes, the phase that follows from both, the members to drain, and the check that no range loses its last target. A VM or target that comes back as another process is taken in again.

Guards broken one at a time, and restored: replaced processes, ready members only, cancelled stops, other stops counted, the next process's load, requests in flight: TestWanted, TestCheck, TestAdvanceIgnoresTheNextProcess and TestPhases went red.

--- /dev/null
+++ b/core/stop/check.go
@@ -0,0 +1,99 @@
+package stop
+
+import (
+	"fmt"
+	"path"
+	"slices"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+// Unserved is a range that a stop would leave without a target.
+type Unserved struct{ Range keyspace.Range }
+
+// String returns the range as one line of text.
+func (u Unserved) String() string {
+	return fmt.Sprintf("line %d: %s [%q, %q) in cell %q would have no target", u.Range.Line, u.Range.Service,
+		u.Range.From, u.Range.To, u.Range.Cell)
+}
+
+// Check returns the ranges that have a target now and would have none once the planned
+// stop and all others that are not cancelled were carried out.
+func Check(planned Stop, others []Stop, layout keyspace.Layout, members []Member) []Unserved {
+	var unserved []Unserved
+	for _, r := range rangesOf(layout) {
+		now := remaining(r, nil, members)
+		then := remaining(r, append([]Stop{planned}, others...), members)
+		if now > 0 && then == 0 {
+			unserved = append(unserved, Unserved{Range: r})
+		}
+	}
+	return unserved
+}
+
+// Unsatisfied returns the ranges that no member may serve.
+func Unsatisfied(layout keyspace.Layout, members []Member) []keyspace.Range {
+	var ranges []keyspace.Range
+	for _, r := range rangesOf(layout) {
+		if remaining(r, nil, members) == 0 {
+			ranges = append(ranges, r)
+		}
+	}
+	return ranges
+}
+
+// remaining counts the members that may serve the range and that no stop concerns.
+func remaining(r keyspace.Range, stops []Stop, members []Member) int {
+	count := 0
+	for _, m := range members {
+		if m.Ready && MayServe(r, m) && !isStopped(stops, m) {
+			count++
+		}
+	}
+	return count
+}
+
+func isStopped(stops []Stop, m Member) bool {
+	return slices.ContainsFunc(stops, func(s Stop) bool { return !s.IsCancelled() && s.Scope.Holds(m) })
+}
+
+// MayServe reports whether the sheet lets the member serve the range.
+func MayServe(r keyspace.Range, m Member) bool {
+	if r.Region != "" && r.Region != m.Region {
+		return false
+	}
+	if r.Cell != "" && r.Cell != m.Cell {
+		return false
+	}
+	if len(r.Targets) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(r.Targets, func(pattern string) bool {
+		matched, err := path.Match(pattern, m.Name)
+		return err == nil && matched
+	})
+}
+
+func rangesOf(l keyspace.Layout) []keyspace.Range {
+	var all []keyspace.Range
+	for _, service := range l.Services {
+		all = append(all, service.Ranges...)
+	}
+	return all
+}
+
+// InForce returns the stops that are neither cancelled nor long over, which a check has to
+// count with.
+func InForce(stops []Stop, progress []Progress, members []Member, now time.Time) []Stop {
+	var kept []Stop
+	for _, s := range stops {
+		over := s.IsDue(now) && !slices.ContainsFunc(members, func(m Member) bool {
+			return s.Scope.Holds(m) && !isReplaced(s, progress, m)
+		})
+		if !s.IsCancelled() && !over {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/stop/stop_test.go
@@ -0,0 +1,162 @@
+package stop
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+var noon = time.Date(2026, 11, 3, 12, 0, 0, 0, time.UTC)
+
+func member(name, domain string) Member {
+	return Member{
+		Name: name, Incarnation: 1, TargetProcess: 5, Region: "alfold", FailureDomain: domain, Cell: "alfold", Ready: true,
+	}
+}
+
+func plan(kind Kind, name string) Stop {
+	return Stop{ID: string(kind) + "-" + name, Scope: Scope{Kind: kind, Name: name}, At: noon}
+}
+
+func TestWanted(t *testing.T) {
+	d1, d2, s1 := member("d-1", "debrecen"), member("d-2", "debrecen"), member("s-1", "szeged")
+	back, newTarget := d1, d1
+	back.Incarnation = 2
+	newTarget.TargetProcess = 6
+	cancelled := plan(VM, "d-1")
+	cancelled.CancelledBy = "eszter"
+	drained := []Drained{{VM: "d-1", Incarnation: 1, TargetProcess: 5}}
+	for name, c := range map[string]struct {
+		stop     Stop
+		members  []Member
+		progress bool
+		at       time.Time
+		want     []string
+	}{
+		"before its time":           {stop: plan(VM, "d-1"), members: []Member{d1}, at: noon.Add(-time.Second)},
+		"one VM":                    {stop: plan(VM, "d-1"), members: []Member{s1, d2, d1}, at: noon, want: []string{"d-1"}},
+		"failure domain":            {stop: plan(FailureDomain, "debrecen"), members: []Member{s1, d2, d1}, at: noon, want: []string{"d-1", "d-2"}},
+		"a domain is not a VM":      {stop: plan(VM, "debrecen"), members: []Member{d1}, at: noon},
+		"cancelled":                 {stop: cancelled, members: []Member{d1}, at: noon},
+		"same process after drain":  {stop: plan(VM, "d-1"), members: []Member{d1}, progress: true, at: noon, want: []string{"d-1"}},
+		"VM came back":              {stop: plan(VM, "d-1"), members: []Member{back}, progress: true, at: noon},
+		"target came back":          {stop: plan(Target, "d-1"), members: []Member{newTarget}, progress: true, at: noon},
+		"node of a stopped target":  {stop: plan(Target, "d-1"), members: []Member{back}, progress: true, at: noon, want: []string{"d-1"}},
+		"target of a stopped VM":    {stop: plan(VM, "d-1"), members: []Member{newTarget}, progress: true, at: noon, want: []string{"d-1"}},
+		"came back before any look": {stop: plan(VM, "d-1"), members: []Member{back}, at: noon, want: []string{"d-1"}},
+	} {
+		var progress []Progress
+		if c.progress {
+			progress = []Progress{{ID: "other", Cell: "alfold"}, {ID: c.stop.ID, Cell: "alfold", VMs: drained}}
+		}
+		if got := Wanted([]Stop{c.stop}, progress, c.members, c.at); !slices.Equal(got, c.want) {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestPhases plays a stop of a failure domain from its plan to its end.
+func TestPhases(t *testing.T) {
+	s := plan(FailureDomain, "debrecen")
+	members := []Member{member("d-1", "debrecen"), member("d-2", "debrecen"), member("s-1", "szeged")}
+	var progress Progress
+	var got []string
+	look := func(at time.Time, first, second Load) {
+		first.Member, second.Member = members[0], members[1]
+		next, write := Advance(s, progress, "alfold", []Load{first, second, {Member: members[2], Slices: 9}}, at)
+		if write {
+			progress = next
+		}
+		got = append(got, fmt.Sprintf("%s %v", PhaseOf(s, []Progress{progress}, members, at), write))
+	}
+	look(noon.Add(-time.Minute), Load{Slices: 4}, Load{Slices: 4})
+	look(noon, Load{Slices: 4, InFlight: 2}, Load{Slices: 4, InFlight: 2})
+	look(noon.Add(time.Second), Load{Slices: 3, InFlight: 2}, Load{Slices: 4, InFlight: 2})
+	look(noon.Add(2*time.Second), Load{InFlight: 2}, Load{Slices: 1})
+	look(noon.Add(3*time.Second), Load{InFlight: 1}, Load{})
+	look(noon.Add(4*time.Second), Load{InFlight: 1}, Load{})
+	look(noon.Add(5*time.Second), Load{}, Load{})
+	want := []string{"planned false", "draining true", "draining false", "draining true", "handed over true", "handed over false", "ready true"}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	s.CancelledBy = "eszter"
+	if phase := PhaseOf(s, []Progress{progress}, members, noon.Add(time.Hour)); phase != Cancelled {
+		t.Errorf("after cancelling: %s", phase)
+	}
+}
+
+// TestAdvanceIgnoresTheNextProcess looks at a VM that returned as another process: what it
+// takes over is not what the stop drains.
+func TestAdvanceIgnoresTheNextProcess(t *testing.T) {
+	s, m := plan(VM, "d-1"), member("d-1", "debrecen")
+	progress, _ := Advance(s, Progress{}, "alfold", []Load{{Member: m, Slices: 1}}, noon)
+	m.Incarnation = 2
+	progress, _ = Advance(s, progress, "alfold", []Load{{Member: m, Slices: 8}}, noon.Add(time.Minute))
+	if len(progress.VMs) != 1 || progress.VMs[0].Incarnation != 1 || !progress.VMs[0].IsReady() {
+		t.Errorf("got %+v", progress.VMs)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	members := []Member{member("d-1", "debrecen"), member("d-2", "debrecen"), member("s-1", "szeged")}
+	absent := member("s-2", "szeged")
+	absent.Ready = false
+	members = append(members, absent)
+	everywhere := keyspace.Range{Service: "booking", Kind: keyspace.Keyed, Region: "alfold", Cell: "alfold", Line: 2}
+	pinned := everywhere
+	pinned.Targets, pinned.Line = []string{"d-*"}, 3
+	elsewhere := everywhere
+	elsewhere.Region, elsewhere.Cell, elsewhere.Line = "dunantul", "dunantul", 4
+	layout := keyspace.Layout{Services: []keyspace.Service{{Ranges: []keyspace.Range{everywhere, pinned, elsewhere}}}}
+	cancelled := plan(VM, "s-1")
+	cancelled.CancelledBy = "eszter"
+	for name, c := range map[string]struct {
+		stop   Stop
+		others []Stop
+		want   []int
+	}{
+		"one of two":                   {stop: plan(VM, "d-1")},
+		"both by one stop":             {stop: plan(FailureDomain, "debrecen"), want: []int{3}},
+		"both by two stops":            {stop: plan(VM, "d-1"), others: []Stop{plan(Target, "d-2")}, want: []int{3}},
+		"the last ready one":           {stop: plan(VM, "s-1"), others: []Stop{plan(FailureDomain, "debrecen")}, want: []int{2, 3}},
+		"cancelled stops do not count": {stop: plan(FailureDomain, "debrecen"), others: []Stop{cancelled}, want: []int{3}},
+	} {
+		var lines []int
+		for _, u := range Check(c.stop, c.others, layout, members) {
+			lines = append(lines, u.Range.Line)
+		}
+		// A range that a stop took the last target from before is not its fault.
+		if !slices.Equal(lines, c.want) {
+			t.Errorf("%s: got lines %v, want %v", name, lines, c.want)
+		}
+	}
+	if got := Unsatisfied(layout, members); len(got) != 1 || got[0].Line != 4 {
+		t.Errorf("unsatisfied: %+v", got)
+	}
+}
+
+func TestStoredForms(t *testing.T) {
+	s := plan(VM, "d-1")
+	value, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(value); err != nil || got != s {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if _, err := Decode([]byte("{")); !errors.Is(err, ErrMalformed) {
+		t.Errorf("broken stop: %v", err)
+	}
+	if _, err := DecodeProgress([]byte("[]")); !errors.Is(err, ErrMalformed) {
+		t.Errorf("broken progress: %v", err)
+	}
+	if err := (Scope{Kind: "rack", Name: "x"}).Check(); !errors.Is(err, ErrScope) {
+		t.Errorf("unknown scope: %v", err)
+	}
+}
