--- a/node/control/control.go
+++ b/node/control/control.go
@@ -60,6 +60,7 @@
 
 	statusMu sync.Mutex
 	status   Status
+	leader   plane.Peer
 }
 
 // NewIncarnation returns the incarnation of a process that starts now. Of two processes of a
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -22,8 +22,9 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 
-	mu  sync.Mutex
-	err error
+	mu    sync.Mutex
+	asked bool
+	err   error
 }
 
 // start runs the program at path; its output goes to dir/name.log.
@@ -76,8 +77,18 @@
 // Resume lets a paused process run on.
 func (p *Process) Resume() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
 
-// Terminate asks the process to stop gracefully.
-func (p *Process) Terminate() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
+// Terminate asks the process to stop gracefully. It asks once only, for a second signal
+// would end a node at once.
+func (p *Process) Terminate() error {
+	p.mu.Lock()
+	asked := p.asked
+	p.asked = true
+	p.mu.Unlock()
+	if asked {
+		return nil
+	}
+	return p.cmd.Process.Signal(syscall.SIGTERM)
+}
 
 // Stop asks the process to stop and waits for its end like Ended.
 func (p *Process) Stop(wait time.Duration) error {
