--- a/standin/faults/faults_test.go
+++ b/standin/faults/faults_test.go
@@ -153,6 +153,8 @@
 	must(t, s.TargetFaults(vm, target.FaultsMessage{Frozen: true}))
 }
 
-func thawTarget(t *testing.T, s *Scene, vm string) { must(t, s.TargetFaults(vm, target.FaultsMessage{})) }
+func thawTarget(t *testing.T, s *Scene, vm string) {
+	must(t, s.TargetFaults(vm, target.FaultsMessage{}))
+}
 
 func healStore(t *testing.T, s *Scene, _ string) { must(t, s.StoreFaults(store.FaultsMessage{})) }
