--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,10 @@
 	@out="$$(gofmt -l $(MODULES))"; test -z "$$out" || { echo "gofmt: $$out"; exit 1; }
 
 lint:
-	@set -e; for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(TOOLBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...); done
+	@failed=0; for m in $(MODULES); do \
+		echo "lint $$m"; \
+		(cd $$m && $(TOOLBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || failed=1; \
+	done; exit $$failed
 	@cd wire && PATH=$(TOOLBIN):$$PATH buf lint
 
 tidy:
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -93,7 +93,7 @@
 		return errors.Wrap(err, "demo folder")
 	}
 	if !options.Keep {
-		defer os.RemoveAll(dir)
+		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	d := &demo{options: options, began: time.Now(), owners: map[string]served{}}
 	d.caller.http.Timeout = deadline + time.Second
@@ -112,7 +112,7 @@
 }
 
 func (d *demo) say(format string, args ...any) {
-	fmt.Fprintf(d.options.Out, "[%5.1fs] %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(d.options.Out, "[%5.1fs] %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func (d *demo) steps() error {
@@ -296,7 +296,7 @@
 			return errors.Wrap(err, "execution log")
 		}
 		read, err := execlog.Read(file)
-		file.Close()
+		_ = file.Close()
 		if err != nil {
 			return err
 		}
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -251,7 +251,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "execution log")
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	return execlog.Read(file)
 }
 
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }()
 	cmd := exec.Command(path, args...)
 	cmd.Stdout = out
 	cmd.Stderr = out
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -120,7 +120,7 @@
 			addBaseline(figures, baseline)
 		}
 		for _, f := range figures {
-			fmt.Fprintf(o.Out, "measure %s.%s\n", p.Name, f)
+			_, _ = fmt.Fprintf(o.Out, "measure %s.%s\n", p.Name, f)
 		}
 	}
 	return ran, nil
--- a/standin/measure/overhead.go
+++ b/standin/measure/overhead.go
@@ -124,7 +124,7 @@
 	})
 }
 
-func (b overheadBench) print(f figure) { fmt.Fprintf(b.options.Out, "measure %s\n", f) }
+func (b overheadBench) print(f figure) { _, _ = fmt.Fprintf(b.options.Out, "measure %s\n", f) }
 
 func (b overheadBench) planFor(w way, d time.Duration, rate float64) load.Plan {
 	plan := b.plan(b.phase(w.name, d, rate), b.short(keyed, 1))
