--- a/cmd/auburnrelay/command/command.go
+++ b/cmd/auburnrelay/command/command.go
@@ -67,10 +67,18 @@
 	root.SetOut(d.Out)
 	root.SetErr(d.Err)
 	root.PersistentFlags().StringVar(&p.storeURL, "store", d.StoreURL, "URL of the object store")
-	root.AddCommand(p.nodeCommand(), p.configCommand(), p.sheetCommand(), p.accountCommand())
+	root.AddCommand(p.nodeCommand(), p.configCommand(), p.sheetCommand(), p.stopCommand(),
+		p.statusCommand(), p.accountCommand())
 	return root
 }
 
+// asGroup makes a command that only groups others refuse what it does not know.
+func asGroup(c *cobra.Command) *cobra.Command {
+	c.Args = cobra.NoArgs
+	c.RunE = func(c *cobra.Command, _ []string) error { return c.Help() }
+	return c
+}
+
 // openStore connects to the store that the flags name.
 func (p *program) openStore() (platform.Store, error) {
 	if p.storeURL == "" {
--- /dev/null
+++ b/cmd/auburnrelay/command/served.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/fleetview"
+	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/publish"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/sheet"
+	"github.com/auburnrelay/auburnrelay/core/stop"
+)
+
+// checkServed refuses a sheet with rules that no announced target of their cell satisfies,
+// or that takes keys from their targets and gives them none. A cell without targets yet is
+// only named.
+func (p *program) checkServed(ctx context.Context, publisher publish.Publisher, old, offered keyspace.Layout, force bool) error {
+	records, err := fleetview.Cells(ctx, publisher.Store)
+	if err != nil {
+		return err
+	}
+	members := fleetview.Members(records)
+	refused := 0
+	for _, r := range stop.Unsatisfied(offered, members) {
+		_ = p.printf("line %d: no announced target may serve %s\n", r.Line, sheet.Describe(r))
+		if hasTargets(r, members) || takesServed(r, old, members) {
+			refused++
+		}
+	}
+	if refused > 0 && !force {
+		return errors.Wrapf(ErrRefused, "%d ranges would have no target; repeat with --force if this is meant", refused)
+	}
+	return nil
+}
+
+// hasTargets reports whether the range's cell has targets at all.
+func hasTargets(r keyspace.Range, members []stop.Member) bool {
+	r.Targets = nil
+	return hasServer(r, members)
+}
+
+// takesServed reports whether a target serves keys of the range by the old sheet.
+func takesServed(r keyspace.Range, old keyspace.Layout, members []stop.Member) bool {
+	for _, service := range old.Services {
+		for _, former := range service.Ranges {
+			if former.Overlaps(r) && hasServer(former, members) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func hasServer(r keyspace.Range, members []stop.Member) bool {
+	for _, m := range members {
+		if m.Ready && stop.MayServe(r, m) {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/auburnrelay/command/sheet.go
+++ b/cmd/auburnrelay/command/sheet.go
@@ -35,7 +35,7 @@
 	}
 	c.AddCommand(p.sheetCheckCommand(), p.sheetDiffCommand(), p.sheetApplyCommand(),
 		p.sheetShowCommand(), p.sheetHistoryCommand())
-	return c
+	return asGroup(c)
 }
 
 func (p *program) sheetCheckCommand() *cobra.Command {
--- a/cmd/auburnrelay/command/sheetapply.go
+++ b/cmd/auburnrelay/command/sheetapply.go
@@ -17,6 +17,7 @@
 	who          string
 	seen         int64
 	confirmMoves bool
+	force        bool
 }
 
 func (p *program) sheetApplyCommand() *cobra.Command {
@@ -42,6 +43,7 @@
 	c.Flags().StringVar(&o.who, "who", p.User, "name of the operator")
 	c.Flags().Int64Var(&o.seen, "seen", -1, "version that \"sheet diff\" compared with; 0 for none")
 	c.Flags().BoolVar(&o.confirmMoves, "confirm-moves", false, "accept a sheet that moves many keys")
+	c.Flags().BoolVar(&o.force, "force", false, "accept a sheet with ranges that no target may serve")
 	return c
 }
 
@@ -60,6 +62,9 @@
 	if err := p.checkMoves(seen, diff, o.confirmMoves); err != nil {
 		return err
 	}
+	if err := p.checkServed(ctx, publisher, seen.Layout, layout, o.force); err != nil {
+		return err
+	}
 	accepted, err := publisher.Publish(ctx, publish.Offer{
 		CSV: text, Layout: layout, Who: o.who, When: p.Now().UTC(), ID: p.NewID(), Seen: seen,
 	})
--- a/cmd/auburnrelay/publish/publish.go
+++ b/cmd/auburnrelay/publish/publish.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return Accepted{}, errors.Wrap(err, "encode the sheet")
 	}
-	if err := p.writeHistory(ctx, offered.HistoryKey, value, o.ID); err != nil {
+	if _, err := p.Put(ctx, offered.HistoryKey, value, 0, o.ID); err != nil {
 		return Accepted{}, errors.Wrap(err, "write the sheet's history; nothing was accepted")
 	}
 	version, err := p.writeCurrent(ctx, offered, value, o)
@@ -117,22 +117,6 @@
 	}
 }
 
-// writeHistory writes the sheet's own copy, whose key no other writer uses.
-func (p Publisher) writeHistory(ctx context.Context, key string, value []byte, id string) error {
-	for try := 1; ; try++ {
-		_, err := p.Store.Put(ctx, key, value, 0, id)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
-			return nil
-		}
-		if !mayRetry(err) {
-			return err
-		}
-		if p.Pause(ctx, try) != nil {
-			return err
-		}
-	}
-}
-
 // writeCurrent names the sheet in sheet/current. The same conditional write is sent until
 // it is known which sheet followed the seen version: at most one can.
 func (p Publisher) writeCurrent(ctx context.Context, offered sheet.Object, value []byte, o Offer) (platform.Version, error) {
@@ -146,6 +130,9 @@
 			return p.resolve(ctx, offered)
 		case errors.Is(err, platform.ErrUnknownOutcome):
 			inDoubt = true
+			if p.hasMoved(ctx, o.Seen.Version) {
+				return p.resolve(ctx, offered)
+			}
 		case !mayRetry(err):
 			return 0, errors.Wrap(err, "write the sheet; nothing was accepted")
 		}
@@ -155,6 +142,12 @@
 	}
 }
 
+// hasMoved reports whether the accepted sheet is known not to be the seen one any more.
+func (p Publisher) hasMoved(ctx context.Context, seen platform.Version) bool {
+	object, err := p.Store.Get(ctx, sheet.KeyCurrent)
+	return err == nil && object.Version != seen
+}
+
 func gaveUp(err error, inDoubt bool) error {
 	if inDoubt {
 		return errors.Mark(errors.Wrap(err, "write the sheet"), ErrUnresolved)
@@ -196,6 +189,30 @@
 	}
 }
 
+// Get reads an object and tries again while the store cannot be reached.
+func (p Publisher) Get(ctx context.Context, key string) (platform.Object, error) {
+	return p.get(ctx, key)
+}
+
+// Put writes an object under an id that no other write has. It sends the same conditional
+// write until its end is known. It fails with platform.ErrConflict when another write came
+// first.
+func (p Publisher) Put(ctx context.Context, key string, value []byte, expected platform.Version, id string) (platform.Version, error) {
+	inDoubt := false
+	for try := 1; ; try++ {
+		version, err := p.Store.Put(ctx, key, value, expected, id)
+		inDoubt = inDoubt || errors.Is(err, platform.ErrUnknownOutcome)
+		if inDoubt && err != nil {
+			if stored, getErr := p.Store.Get(ctx, key); getErr == nil && stored.WriteID == id {
+				return stored.Version, nil
+			}
+		}
+		if err == nil || !mayRetry(err) || p.Pause(ctx, try) != nil {
+			return version, err
+		}
+	}
+}
+
 func mayRetry(err error) bool {
 	return errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrBudget)
 }
