Probe a peer at once when a heartbeat to it fails

Cause: a lost controller was probed only after two heartbeats of silence, 1 s and more after its loss, and the wait for its leases counts from when it is known to have ended. A failed heartbeat is now followed by a probe at once; only a refused connection or another incarnation counts, as before.

--- a/node/control/rpc.go
+++ b/node/control/rpc.go
@@ -110,6 +110,7 @@
 		return
 	}
 	request := cellwire.HeartbeatToWire(c.cfg.Cluster, c.cfg.Cell, e.Heartbeat)
+	parent := ctx
 	c.call(ctx, func(ctx context.Context) {
 		client, err := c.peers.client(e.To.Address)
 		if err != nil {
@@ -118,6 +119,8 @@
 		response, err := client.Heartbeat(ctx, request)
 		c.metrics.sent("heartbeat", err)
 		if err != nil {
+			// A refused connection shows at once that the process has ended.
+			c.probePeer(parent, e.To)
 			return
 		}
 		if from := cellwire.NodeFromWire(response.GetFrom()); from.Name == e.To.Name {
