--- a/core/cell/moves.go
+++ b/core/cell/moves.go
@@ -13,7 +13,7 @@
 	// churnPerMinute bounds planned moves for balance, as a share of the cell's slices.
 	churnPerMinute = 0.02
 	// spreadInterval is the time between two decisions that spread slices and work.
-	spreadInterval = 500 * time.Millisecond
+	spreadInterval = time.Second
 	// giveUpAfter is how long a move that only spreads work waits for its slice to drain:
 	// until then no request of the slice is admitted.
 	giveUpAfter = 2 * time.Second
@@ -57,26 +57,39 @@
 
 // planMoves starts the planned moves that the present state asks for.
 func (m *Machine) planMoves() {
+	c := m.ctl
+	spread := m.now-c.plans.joinedAt >= settleTime && m.now-c.plans.spreadAt >= spreadInterval
+	if !spread && !m.anyLeaves() {
+		return
+	}
 	p := m.problem()
 	if len(p.Nodes) == 0 {
 		m.emptyLeaving(p)
 		return
 	}
 	m.moveAway(p)
-	c := m.ctl
-	if m.now-c.plans.joinedAt < settleTime || m.now-c.plans.spreadAt < spreadInterval {
+	if !spread {
 		return
 	}
 	c.plans.spreadAt = m.now
-	m.fill()
+	m.fill(m.pinned(p))
 	m.splitHot()
-	m.balance()
+	m.balance(m.pinned(p))
+}
+
+// anyLeaves reports whether some node must give its slices away.
+func (m *Machine) anyLeaves() bool {
+	for _, n := range m.ctl.members {
+		if n.leaving || m.unfit(n) {
+			return true
+		}
+	}
+	return false
 }
 
 // fill moves slices to nodes that lack most of their share, until they have it.
-func (m *Machine) fill() {
+func (m *Machine) fill(p placement.Problem) {
 	c := m.ctl
-	p := m.pinned(m.problem())
 	limit := max(1, int(drainingMax*float64(len(p.Slices)))) - len(c.moving)
 	if limit <= 0 {
 		return
@@ -155,12 +168,11 @@
 }
 
 // balance moves measured work, within the churn budget.
-func (m *Machine) balance() {
+func (m *Machine) balance(p placement.Problem) {
 	c := m.ctl
 	if m.now-c.plans.churnAt > time.Minute {
 		c.plans.churnAt, c.plans.churned = m.now, 0
 	}
-	p := m.pinned(m.problem())
 	budget := max(1, int(churnPerMinute*float64(len(p.Slices)))) - c.plans.churned
 	if budget <= 0 || len(c.moving) > 0 {
 		return
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -70,12 +70,39 @@
 	if !m.storeDown {
 		m.planMoves()
 	}
+	if !m.draftNeeded() {
+		return
+	}
 	if next, touched := m.draft(); next != nil {
 		m.put(writePlan, m.version, next, touched)
 		m.write.dropped = droppedRanges(m.rec, next)
 	}
 }
 
+// draftNeeded reports whether the record may have to change. It looks at nodes, not at
+// slices, as it is asked often.
+func (m *Machine) draftNeeded() bool {
+	c := m.ctl
+	if c.plans.dirty || c.plans.adopting || len(c.freed)+len(c.active)+len(c.moving) > 0 {
+		return true
+	}
+	if m.sheet != nil && m.sheet.Version > m.rec.SheetVersion {
+		return true
+	}
+	for name := range c.routes.owned {
+		n := c.members[name]
+		if n == nil || !m.live(n) || m.withheld(n) {
+			return true
+		}
+	}
+	for _, n := range c.members {
+		if m.live(n) && !m.targetRecorded(n) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) forgetMembers() {
 	c := m.ctl
 	for _, name := range sortedNames(c.members) {
