--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -284,6 +284,7 @@
 // adopt renews the leases of the whole set until the time.
 func (m *Machine) adopt(until time.Duration) {
 	var leases []Adoption
+	before := len(m.holder.held)
 	for id, g := range m.holder.set {
 		if m.mayAdopt(g) {
 			leases = append(leases, m.hold(id, g, until))
@@ -294,6 +295,9 @@
 	}
 	slices.SortFunc(leases, func(a, b Adoption) int { return compareSlices(a.Slice, b.Slice) })
 	m.emit(AdoptLeases{Leases: leases})
+	if len(m.holder.held) > before {
+		m.emit(TableChanged{})
+	}
 }
 
 // mayAdopt reports whether the grant is above what the node released or held.
@@ -313,7 +317,6 @@
 		_, draining := h.draining[id]
 		l = &holding{draining: draining}
 		h.held[id] = l
-		m.emit(TableChanged{})
 	}
 	l.fence = g.Fence
 	l.until = max(l.until, until)
--- a/node/control/budget_test.go
+++ b/node/control/budget_test.go
@@ -99,7 +99,11 @@
 	}
 	waitFor(t, "all slices served", 20*time.Second, func() bool { return served(t, nodes) == testSlices })
 	settled := nodes[0].control.Status().Owners
-	for quiet := time.Now(); time.Since(quiet) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+	start := time.Now()
+	for quiet := start; time.Since(quiet) < 2*time.Second; time.Sleep(50 * time.Millisecond) {
+		if time.Since(start) > 30*time.Second {
+			t.Fatal("the cell does not settle")
+		}
 		if now := nodes[0].control.Status().Owners; fmt.Sprint(now) != fmt.Sprint(settled) {
 			settled, quiet = now, time.Now()
 		}
