--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -346,3 +346,17 @@
 		m.pokeName(name)
 	}
 }
+
+// clockJumped gives up the authority and takes every grant for a fresh one.
+func (c *controller) clockJumped(now, until time.Duration) {
+	c.authority = now
+	c.asked = make(map[uint64]time.Duration)
+	c.quietUntil = max(c.quietUntil, until)
+	for id, g := range c.granted {
+		g.until = max(g.until, until)
+		c.granted[id] = g
+	}
+	for _, n := range c.members {
+		n.seen = max(n.seen, now)
+	}
+}
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -316,11 +316,7 @@
 	m.holder.sent = make(map[uint64]sentBeat)
 	m.endAll("the clocks disagree")
 	if m.ctl != nil {
-		m.ctl.authority = m.now
-		m.ctl.asked = make(map[uint64]time.Duration)
-		m.ctl.quietUntil = max(m.ctl.quietUntil, m.now+m.timing.wait(m.timing.Lease))
-		m.ctl.expected = nil
-		m.ctl.quiet = true
+		m.ctl.clockJumped(m.now, m.now+m.timing.wait(m.timing.Lease))
 	}
 	m.standby.until = max(m.standby.until, m.now+m.timing.wait(max(m.timing.Lease, m.timing.Promise)))
 }
--- /dev/null
+++ b/node/bootclock/bootclock_test.go
@@ -0,0 +1,38 @@
+package bootclock
+
+import (
+	"testing"
+	"time"
+)
+
+func TestNowGrows(t *testing.T) {
+	first := Now()
+	if second := Now(); first <= 0 || second < first {
+		t.Errorf("readings %v, %v", first, second)
+	}
+}
+
+func TestJumped(t *testing.T) {
+	wall := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	tests := []struct {
+		name       string
+		boot, wall time.Duration
+		want       bool
+	}{
+		{"both go on", time.Second, time.Second, false},
+		{"small correction", time.Second, time.Second + 100*time.Millisecond, false},
+		{"long pause seen by both", time.Hour, time.Hour, false},
+		{"wall set forward", time.Second, time.Minute, true},
+		{"wall set back", time.Second, -time.Minute, true},
+		{"boot clock stood still", 0, 10 * time.Second, true},
+	}
+	for _, tt := range tests {
+		var w Watch
+		if w.Jumped(time.Hour, wall) {
+			t.Errorf("%s: the first reading is a jump", tt.name)
+		}
+		if got := w.Jumped(time.Hour+tt.boot, wall.Add(tt.wall)); got != tt.want {
+			t.Errorf("%s: got %v", tt.name, got)
+		}
+	}
+}
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -27,6 +27,9 @@
 // loadInterval is the time between two reports of measured work.
 const loadInterval = 500 * time.Millisecond
 
+// statusInterval is the time between two states that Status may return.
+const statusInterval = 200 * time.Millisecond
+
 // Run takes part in the cell until the context ends; then it ends every lease.
 func (c *Control) Run(ctx context.Context) error {
 	defer close(c.stopped)
@@ -34,7 +37,7 @@
 	ticker := time.NewTicker(cell.TickInterval)
 	defer ticker.Stop()
 	var clock bootclock.Watch
-	var loadsAt time.Duration
+	var loadsAt, statusAt time.Duration
 	for {
 		select {
 		case <-ctx.Done():
@@ -57,7 +60,10 @@
 			}
 			c.step(ctx, envelope{event: report})
 			c.step(ctx, envelope{event: cell.Tick{}})
-			c.publishStatus()
+			if now-statusAt >= statusInterval {
+				statusAt = now
+				c.publishStatus()
+			}
 		}
 	}
 }
