--- a/core/cell/walk_test.go
+++ b/core/cell/walk_test.go
@@ -52,7 +52,7 @@
 func (w *world) fault() {
 	n := w.nodes[w.names[w.rng.IntN(len(w.names))]]
 	span := time.Duration(100+w.rng.IntN(6000)) * time.Millisecond
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(13) {
 	case 0, 1:
 		w.logf("%s pauses for %v", n.name, span)
 		n.pausedUntil = max(n.pausedUntil, w.t+span)
@@ -73,6 +73,8 @@
 		w.nextSheet()
 	case 11:
 		w.leave(n)
+	case 12:
+		w.step(n, n.inc, ClockJumped{})
 	}
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -75,7 +75,7 @@
 	if !well || !known || e.Crashes == 0 {
 		return nil
 	}
-	return []Change{t.apply(Change{Fingerprint: f, Kind: Cleared, At: now})}
+	return []Change{t.apply(Change{Fingerprint: f, Kind: Cleared, At: now.Truncate(resolution)})}
 }
 
 // Crash blames what was in flight when the target's process ended, and returns the changes to
@@ -93,7 +93,7 @@
 	}
 	changes := make([]Change, 0, len(blamed))
 	for _, f := range blamed {
-		changes = append(changes, t.apply(Change{Fingerprint: f, Kind: Crashed, At: now}))
+		changes = append(changes, t.apply(Change{Fingerprint: f, Kind: Crashed, At: now.Truncate(resolution)}))
 	}
 	t.forgetOldest()
 	return changes
@@ -109,10 +109,11 @@
 	return c
 }
 
-// Merge takes in entries that other nodes of the cell published; the later change wins.
+// Merge takes in the cell's entries; the later change wins. At equal times the cell's entry wins:
+// it holds this node's own change and those of others.
 func (t *Tracker) Merge(entries []Entry) {
 	for _, in := range entries {
-		if e, known := t.entries[in.Fingerprint]; known && !e.Last.Before(in.Last) {
+		if e, known := t.entries[in.Fingerprint]; known && in.Last.Before(e.Last) {
 			continue
 		}
 		t.entries[in.Fingerprint] = &in
