--- /dev/null
+++ b/core/cell/adopt.go
@@ -0,0 +1,132 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
+
+func (m *Machine) takeGrants(a Answer, beat sentBeat) {
+	h := &m.holder
+	if a.Full {
+		h.set = make(map[keyspace.SliceID]Grant, len(a.Grants))
+		for _, g := range a.Grants {
+			h.set[g.Slice] = g
+		}
+		h.setID = a.Set
+	}
+	if a.Set != h.setID || !m.tableAtLeast(a.Needs) {
+		return
+	}
+	if beat.target != m.target.Incarnation && !m.target.ChecksFences && !m.guards.anyTarget {
+		return
+	}
+	sent := beat.at
+	if m.guards.noDateByRequest {
+		sent = m.now
+	}
+	until := sent + min(a.For, m.timing.Lease)
+	if until <= m.now {
+		return
+	}
+	m.adopt(until)
+}
+
+// tableAtLeast reports whether the node knows the hot keys that the grants assume.
+func (m *Machine) tableAtLeast(v TableVersion) bool {
+	if v == (TableVersion{}) || m.guards.noTableWait {
+		return true
+	}
+	return m.table != nil && !m.table.Version.Less(v)
+}
+
+// adopt renews the leases of the whole set until the time.
+func (m *Machine) adopt(until time.Duration) {
+	var leases []Adoption
+	before := len(m.holder.held)
+	for id, g := range m.holder.set {
+		if m.mayAdopt(g) {
+			leases = append(leases, m.hold(id, g, until))
+		}
+	}
+	if len(leases) == 0 {
+		return
+	}
+	slices.SortFunc(leases, func(a, b Adoption) int { return compareSlices(a.Slice, b.Slice) })
+	m.emit(AdoptLeases{Leases: leases})
+	if len(m.holder.held) > before {
+		m.emit(TableChanged{})
+	}
+}
+
+// mayAdopt reports whether the grant is above what the node released or held.
+func (m *Machine) mayAdopt(g Grant) bool {
+	h := &m.holder
+	if f, ok := h.refused[g.Slice]; ok && lower(g.Fence, f) && !m.guards.noReleaseFence {
+		return false
+	}
+	l := h.held[g.Slice]
+	return l == nil || !g.Fence.Less(l.fence) || m.guards.anyFence
+}
+
+func (m *Machine) hold(id keyspace.SliceID, g Grant, until time.Duration) Adoption {
+	h := &m.holder
+	l := h.held[id]
+	if l == nil {
+		_, draining := h.draining[id]
+		l = &holding{draining: draining}
+		h.held[id] = l
+	}
+	l.fence = g.Fence
+	l.until = max(l.until, until)
+	drained, draining := h.draining[id]
+	if draining && drained.Seq != g.Fence.Seq {
+		delete(h.draining, id)
+		l.draining, draining = false, false
+	}
+	if draining {
+		// The lease of what still runs goes on; a higher fence would open the slice again.
+		return Adoption{Slice: id, Fence: drained, Until: l.until}
+	}
+	return Adoption{Slice: id, Fence: g.Fence, Until: l.until, Window: g.Window}
+}
+
+func (m *Machine) takeDrains(drain []keyspace.SliceID) {
+	for _, id := range drain {
+		g, ok := m.holder.set[id]
+		if _, busy := m.holder.draining[id]; !ok || busy || !m.mayAdopt(g) {
+			continue
+		}
+		m.holder.draining[id] = g.Fence
+		if l := m.holder.held[id]; l != nil {
+			l.draining = true
+		}
+		m.decide("drain slice", id, m.self.Name, "the controller moves it")
+		m.emit(DrainSlice{Slice: id})
+		m.emit(TableChanged{})
+	}
+}
+
+// sliceDrained gives the slice back with a fence that the node will not adopt again.
+func (m *Machine) sliceDrained(e SliceDrained) {
+	h := &m.holder
+	f, ok := h.draining[e.Slice]
+	if !ok {
+		return
+	}
+	delete(h.draining, e.Slice)
+	if l := h.held[e.Slice]; l != nil && f.Less(l.fence) {
+		f = l.fence
+	}
+	if g, ok := h.set[e.Slice]; ok && f.Less(g.Fence) {
+		f = g.Fence
+	}
+	h.refused[e.Slice] = f
+	h.released[e.Slice] = Release{Slice: e.Slice, Fence: f, Window: e.Window}
+	delete(h.held, e.Slice)
+	delete(h.set, e.Slice)
+	h.beatSoon = true
+	m.emit(TableChanged{})
+	m.heartbeatTick()
+}
