Bound a new controller's own leases by its authority

The takeover after a lost standby again counts from when the version was seen as well, since the write that named the standby gives authority. TestTakeoverBoundsOwnLeases fails without the bound.

--- a/core/cell/adopt.go
+++ b/core/cell/adopt.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 )
 
@@ -85,11 +86,20 @@
 		delete(h.draining, id)
 		l.draining, draining = false, false
 	}
-	if draining {
-		// The lease of what still runs goes on; a higher fence would open the slice again.
-		return Adoption{Slice: id, Fence: drained, Until: l.until}
+	adoption := Adoption{Slice: id, Fence: m.adoptedFence(id, g.Fence), Until: l.until}
+	if !draining {
+		adoption.Window = g.Window
 	}
-	return Adoption{Slice: id, Fence: g.Fence, Until: l.until, Window: g.Window}
+	return adoption
+}
+
+// adoptedFence is the fence under which the request side holds the slice. While it drains,
+// the lease of what still runs goes on; a higher fence would open the slice again.
+func (m *Machine) adoptedFence(id keyspace.SliceID, f fence.Fence) fence.Fence {
+	if drained, ok := m.holder.draining[id]; ok {
+		return drained
+	}
+	return f
 }
 
 func (m *Machine) takeDrains(drain []keyspace.SliceID) {
--- a/core/cell/authority.go
+++ b/core/cell/authority.go
@@ -16,6 +16,29 @@
 	if kind == writeNaming || kind == writeTakeover || solo {
 		m.ctl.authority = max(m.ctl.authority, sent+m.timing.Promise)
 	}
+	if kind == writeTakeover {
+		m.boundOwnLeases()
+	}
+}
+
+// boundOwnLeases ends the leases that a new controller holds from the former one no later
+// than its authority: the next controller does not wait for its report.
+func (m *Machine) boundOwnLeases() {
+	if m.guards.unboundOwnLease {
+		return
+	}
+	var leases []Adoption
+	for _, id := range sortedSlices(m.holder.held) {
+		l := m.holder.held[id]
+		if l.until <= m.ctl.authority {
+			continue
+		}
+		l.until = m.ctl.authority
+		leases = append(leases, Adoption{Slice: id, Fence: m.adoptedFence(id, l.fence), Until: l.until})
+	}
+	if len(leases) > 0 {
+		m.emit(AdoptLeases{Leases: leases})
+	}
 }
 
 func (m *Machine) askTick() {
--- a/core/cell/holder_test.go
+++ b/core/cell/holder_test.go
@@ -15,6 +15,7 @@
 	beats []Heartbeat
 	held  map[keyspace.SliceID]Adoption
 	drain int
+	wrote *WriteRecord
 }
 
 var testSlice = keyspace.SliceID{Range: 7, Index: 1}
@@ -46,6 +47,8 @@
 			for _, id := range f.Slices {
 				delete(l.held, id)
 			}
+		case WriteRecord:
+			l.wrote = &f
 		case DrainSlice:
 			l.drain++
 		}
@@ -148,6 +151,33 @@
 	}
 }
 
+// TestTakeoverBoundsOwnLeases checks that what a new controller holds from the former one
+// ends with its own authority, and that the case fails without the guard.
+func TestTakeoverBoundsOwnLeases(t *testing.T) {
+	for _, name := range []string{"", "own lease in authority"} {
+		off := guardSwitches[name]
+		if off == nil {
+			off = func(*guards) {}
+		}
+		l := newLone(off, true)
+		r := l.m.rec.Clone()
+		r.Standby, r.Naming = Node{"b", 1}, 2
+		l.step(RecordRead{Status: ReadFound, Version: 2, Record: r})
+		l.now += 3 * time.Second
+		l.beat()
+		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
+		sent := l.now
+		for l.wrote == nil {
+			l.step(Tick{})
+		}
+		l.step(RecordWritten{ID: l.wrote.ID, Status: WriteDone, Version: 3})
+		bound := l.held[testSlice].Until <= l.now+DefaultTiming().Promise
+		if want := name == ""; bound != want {
+			t.Errorf("guard off %q: lease until %v, taken over at %v, granted at %v", name, l.held[testSlice].Until, l.now, sent)
+		}
+	}
+}
+
 // TestDatesFromSending checks that a lease counts from before its heartbeat was sent.
 func TestDatesFromSending(t *testing.T) {
 	l := newLone(func(*guards) {}, true)
--- a/core/cell/standby.go
+++ b/core/cell/standby.go
@@ -127,9 +127,10 @@
 }
 
 // bothLost reports whether no authority can be left: the controller's process has ended, or
-// the standby's has and the last promise that it can have given has lapsed since. A write
-// that named another standby meanwhile has moved the version, so that a takeover on the
-// version known here fails.
+// the standby's has, and since then and since the version was first seen the time of a
+// promise has passed: the controller's authority came from the standby's last promise or
+// from the write that named it. A later write has moved the version, so that a takeover on
+// the version known here fails.
 func (m *Machine) bothLost() bool {
 	grace := m.timing.wait(m.timing.Promise)
 	if m.rec.Standby.IsZero() || m.isStandby() || !m.silent() {
@@ -139,7 +140,7 @@
 	if since, gone := m.gone[m.rec.Controller]; gone && (ok || m.now-since > grace) {
 		return true // without its process no authority is left; a living standby goes first
 	}
-	return ok && (m.now-at > grace || m.guards.noGonePromise)
+	return ok && (m.now-max(at, m.versionSeen) > grace || m.guards.noGonePromise)
 }
 
 // takeOver writes this node into the record as the controller of a new epoch.
