Let controllers carry planned stops out

The controller watches stops/, notes in its cell's progress which processes a due stop concerns, and then treats them like nodes whose target drains: nothing new goes to them, what they own moves to others, no shared request is sent to them. While no other node is ready they keep what they own.

TestPlannedStop drains a VM of a cell of three, loses the controller midway, cancels, and sees the VM serve again; TestStopOfTheLastNode sees all slices served on.

Not proved at process level: in-flight manuals of a shared service are cut by no stop.

--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -93,6 +93,8 @@
 	windows map[keyspace.SliceID]handover
 	probed  map[string]time.Duration
 	goneTgt map[string]uint64
+	// stopped has the nodes that planned stops want drained.
+	stopped map[string]bool
 	seq     uint64
 	setID   uint64
 
--- a/core/cell/events.go
+++ b/core/cell/events.go
@@ -100,6 +100,9 @@
 // ClockJumped tells that the clocks disagree, so that no lease can be trusted.
 type ClockJumped struct{}
 
+// StopsRead names the nodes of the cell that planned stops want drained now.
+type StopsRead struct{ Drain []string }
+
 // LeaveAsked starts this node's planned leave.
 type LeaveAsked struct{}
 
@@ -118,4 +121,5 @@
 func (PeerGone) event()          {}
 func (TargetGone) event()        {}
 func (ClockJumped) event()       {}
+func (StopsRead) event()         {}
 func (LeaveAsked) event()        {}
--- a/core/cell/grants.go
+++ b/core/cell/grants.go
@@ -38,6 +38,7 @@
 	target := h.From.Target
 	h.From = n.Member
 	h.From.Target.State, h.From.Target.Slots, h.From.Target.ChecksFences = target.State, target.Slots, target.ChecksFences
+	h.From.Target.InFlight = target.InFlight
 	return true
 }
 
@@ -64,6 +65,7 @@
 	n.number = h.Number
 	n.seen = m.now
 	n.leaving = h.Leaving
+	m.applyStop(&h)
 	if n.Target.Incarnation != h.From.Target.Incarnation || n.Target.State != h.From.Target.State {
 		c.plans.dirty = true
 		c.routes.membersChanged()
--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -148,7 +148,7 @@
 		return full
 	}
 	t := m.target
-	brief := Target{State: t.State, Incarnation: t.Incarnation, Slots: t.Slots, ChecksFences: t.ChecksFences}
+	brief := Target{State: t.State, Incarnation: t.Incarnation, Slots: t.Slots, ChecksFences: t.ChecksFences, InFlight: t.InFlight}
 	return Member{Node: m.self, Target: brief}
 }
 
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -153,6 +153,8 @@
 		m.targetGone(e)
 	case ClockJumped:
 		m.clockJumped()
+	case StopsRead:
+		m.stopsRead(e)
 	case LeaveAsked:
 		m.leaveAsked()
 	}
--- a/core/stop/stop.go
+++ b/core/stop/stop.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// KeyPrefix starts the keys of planned stops, ProgressPrefix those of the cells'
-	// progress. They are apart so that controllers watch only what operators write.
-	KeyPrefix      = "stops/"
+	// KeyPrefix starts the keys of planned stops.
+	KeyPrefix = "stops/"
+	// ProgressPrefix starts the keys of the cells' progress. It is apart from KeyPrefix so
+	// that controllers watch only what operators write.
 	ProgressPrefix = "stopprogress/"
 )
 
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/stop"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/platform"
 	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
@@ -61,6 +62,10 @@
 	statusMu sync.Mutex
 	status   Status
 	leader   plane.Peer
+
+	stopsMu sync.Mutex
+	// stops are the planned stops, nil before they were first read.
+	stops []stop.Stop
 }
 
 // NewIncarnation returns the incarnation of a process that starts now. Of two processes of a
--- /dev/null
+++ b/node/control/stops.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/auburnrelay/auburnrelay/core/cell"
+	"github.com/auburnrelay/auburnrelay/core/stop"
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+// stopsInterval is the time between two looks at what planned stops want.
+const stopsInterval = time.Second
+
+// writtenProgress is a progress with its version in the store.
+type writtenProgress struct {
+	stop.Progress
+	version platform.Version
+}
+
+// stopsChanged takes the planned stops that operators have written.
+func (c *Control) stopsChanged(_ platform.Version, objects map[string]platform.Object) {
+	stops := []stop.Stop{}
+	for key, object := range objects {
+		s, err := stop.Decode(object.Value)
+		if err != nil {
+			c.log.Error("planned stop not understood", "key", key, "reason", err.Error())
+			continue
+		}
+		stops = append(stops, s)
+	}
+	c.stopsMu.Lock()
+	defer c.stopsMu.Unlock()
+	c.stops = stops
+}
+
+// carryStops drains what planned stops concern, and writes how far the cell has come, as
+// long as the node is its cell's controller.
+func (c *Control) carryStops(ctx context.Context) {
+	defer c.calls.Done()
+	ticker := time.NewTicker(stopsInterval)
+	defer ticker.Stop()
+	var progress map[string]writtenProgress
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		c.stopsMu.Lock()
+		stops := c.stops
+		c.stopsMu.Unlock()
+		if len(stops) == 0 {
+			c.post(cell.StopsRead{})
+			continue
+		}
+		if progress == nil {
+			progress = c.readProgress(ctx)
+		}
+		if progress != nil && !c.stopsTick(ctx, stops, progress) {
+			progress = nil
+		}
+	}
+}
+
+// readProgress returns the cell's progress by stop, nil if the store does not answer.
+func (c *Control) readProgress(ctx context.Context) map[string]writtenProgress {
+	listing, err := c.list(ctx, stop.ProgressPrefix)
+	if err != nil {
+		c.pause(ctx, stop.ProgressPrefix, err)
+		return nil
+	}
+	progress := map[string]writtenProgress{}
+	for _, object := range listing.Objects {
+		p, err := stop.DecodeProgress(object.Value)
+		if err == nil && p.Cell == c.cfg.Cell {
+			progress[p.ID] = writtenProgress{Progress: p, version: object.Version}
+		}
+	}
+	return progress
+}
+
+// stopsTick looks once at the cell. It reports false when the stored progress has to be
+// read again.
+func (c *Control) stopsTick(ctx context.Context, stops []stop.Stop, progress map[string]writtenProgress) bool {
+	status := c.Status()
+	if !status.HasAuthority {
+		return true
+	}
+	now := time.Now()
+	loads := loadsOfMembers(status)
+	for _, s := range stops {
+		former := progress[s.ID]
+		next, worth := stop.Advance(s, former.Progress, c.cfg.Cell, loads, now)
+		if !worth {
+			continue
+		}
+		version, err := c.putProgress(ctx, next, former.version)
+		if err != nil {
+			c.log.Warn("progress of a planned stop not written", "stop", s.ID, "reason", err.Error())
+			return false
+		}
+		progress[s.ID] = writtenProgress{Progress: next, version: version}
+	}
+	c.post(cell.StopsRead{Drain: wantedBy(stops, progress, loads, now)})
+	return true
+}
+
+func wantedBy(stops []stop.Stop, progress map[string]writtenProgress, loads []stop.Load, now time.Time) []string {
+	var all []stop.Progress
+	for _, p := range progress {
+		all = append(all, p.Progress)
+	}
+	members := make([]stop.Member, 0, len(loads))
+	for _, load := range loads {
+		members = append(members, load.Member)
+	}
+	return stop.Wanted(stops, all, members, now)
+}
+
+// putProgress writes a progress; a lost answer is resolved by reading it again.
+func (c *Control) putProgress(ctx context.Context, p stop.Progress, expected platform.Version) (platform.Version, error) {
+	value, err := p.Encode()
+	if err != nil {
+		return 0, errors.Wrap(err, "encode progress")
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	version, err := c.store.Put(ctx, stop.ProgressKey(p.ID, p.Cell), value, expected, ulid.Make().String())
+	c.metrics.stored("put", err)
+	return version, errors.Wrap(err, "write progress")
+}
+
+// loadsOfMembers returns what the controller knows of the cell's nodes.
+func loadsOfMembers(status Status) []stop.Load {
+	loads := make([]stop.Load, 0, len(status.Members))
+	for _, m := range status.Members {
+		loads = append(loads, stop.Load{
+			Member: stop.Member{
+				Name: m.Peer.Name, Incarnation: m.Peer.Incarnation, TargetProcess: m.Peer.Target.Incarnation,
+				Region: m.Peer.Region, FailureDomain: m.Peer.FailureDomain, Cell: m.Peer.Cell,
+			},
+			Slices: m.Slices, InFlight: m.Peer.Target.InFlight,
+		})
+	}
+	return loads
+}
--- /dev/null
+++ b/node/control/stops_test.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/stop"
+	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/memstore"
+)
+
+func writeStop(t *testing.T, store platform.Store, s stop.Stop, expected platform.Version) platform.Version {
+	t.Helper()
+	value, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	version, err := store.Put(t.Context(), s.Key(), value, expected, "operator")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+func readyFor(t *testing.T, store platform.Store, id string) bool {
+	t.Helper()
+	object, err := store.Get(t.Context(), stop.ProgressKey(id, "alfold"))
+	if err != nil {
+		return false
+	}
+	p, err := stop.DecodeProgress(object.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(p.VMs) == 1 && p.VMs[0].IsReady()
+}
+
+// TestPlannedStop drains a VM that serves, loses the controller midway and takes the VM in
+// again after the stop was cancelled.
+func TestPlannedStop(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	victim := nodes[pick(nodes, "plain")]
+	s := stop.Stop{ID: "S1", Scope: stop.Scope{Kind: stop.VM, Name: victim.control.Self().Name}, At: time.Now()}
+	version := writeStop(t, store, s, 0)
+	waitFor(t, "the VM to hand its keys over", 8*time.Second, func() bool { return len(victim.holder.live()) == 0 })
+	waitFor(t, "all slices with the others", 2*time.Second, func() bool { return served(t, nodes) == testSlices })
+	waitFor(t, "the stop to be ready", 3*time.Second, func() bool { return readyFor(t, store, "S1") })
+
+	i := pick(nodes, "controller")
+	lost := nodes[i]
+	nodes = append(nodes[:i:i], nodes[i+1:]...)
+	lost.kill()
+	waitFor(t, "served again without the controller", 4*time.Second, func() bool { return served(t, nodes) == testSlices })
+
+	s.CancelledBy = "eszter"
+	writeStop(t, store, s, version)
+	waitFor(t, "the VM to serve again", 15*time.Second, func() bool { return len(victim.holder.live()) > 0 })
+	if got := served(t, nodes); got != testSlices {
+		waitFor(t, "all slices served", 3*time.Second, func() bool { return served(t, nodes) == testSlices })
+	}
+}
+
+// TestStopOfTheLastNode demands that a planned stop of the only node takes nothing away.
+func TestStopOfTheLastNode(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	only := startNode(t, store, "vm-a", "debrecen", "alfold")
+	waitFor(t, "all slices served", 10*time.Second, func() bool { return len(only.holder.live()) == testSlices })
+	writeStop(t, store, stop.Stop{ID: "S1", Scope: stop.Scope{Kind: stop.VM, Name: "vm-a"}, At: time.Now()}, 0)
+	waitFor(t, "the controller to take the stop up", 5*time.Second, func() bool {
+		_, err := store.Get(t.Context(), stop.ProgressKey("S1", "alfold"))
+		return err == nil
+	})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if n := len(only.holder.live()); n != testSlices {
+			t.Fatalf("%d of %d slices are served", n, testSlices)
+		}
+	}
+}
--- a/node/control/watch.go
+++ b/node/control/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/core/stop"
 	"github.com/auburnrelay/auburnrelay/platform"
 )
 
@@ -31,9 +32,11 @@
 		return
 	}
 	ctx, c.watches = context.WithCancel(ctx)
-	c.calls.Add(2)
+	c.calls.Add(4)
 	go c.follow(ctx, sheetKey, c.sheetChanged)
 	go c.follow(ctx, cellsPrefix, c.cellsChanged)
+	go c.follow(ctx, stop.KeyPrefix, c.stopsChanged)
+	go c.carryStops(ctx)
 }
 
 // follow lists the objects below a prefix and polls for changes until the context ends.
