Work out docs/CAPACITY.md from measured slopes

core/capacity computes the page's table from slopes.csv, whose figures each name their run; a test fails when they differ.

--- /dev/null
+++ b/core/capacity/capacity_test.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+var update = flag.Bool("update", false, "write the table into docs/CAPACITY.md")
+
+const (
+	page  = "../../docs/CAPACITY.md"
+	begin = "<!-- table: go test ./capacity -update -->\n"
+	end   = "<!-- end of table -->\n"
+)
+
+func readSlopes(t *testing.T) Slopes {
+	t.Helper()
+	file, err := os.Open("slopes.csv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	slopes, err := ReadSlopes(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slopes
+}
+
+// TestPageHoldsTheTable demands that the page's table is the one that the slopes give.
+func TestPageHoldsTheTable(t *testing.T) {
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, rest, hasBegin := strings.Cut(string(text), begin)
+	old, tail, hasEnd := strings.Cut(rest, end)
+	if !hasBegin || !hasEnd {
+		t.Fatalf("%s has no table", page)
+	}
+	table := Markdown(Rows(Designed(), readSlopes(t)))
+	if old == table {
+		return
+	}
+	if !*update {
+		t.Fatalf("the page differs from the slopes; run go test ./capacity -update\n%s", table)
+	}
+	if err := os.WriteFile(page, []byte(head+begin+table+end+tail), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSlopesNameTheirRuns demands that every slope in use is in the file.
+func TestSlopesNameTheirRuns(t *testing.T) {
+	slopes := readSlopes(t)
+	for _, row := range Rows(Designed(), slopes) {
+		for _, name := range strings.Split(row.From, ", ") {
+			if _, known := slopes[name]; !known && name != "arithmetic" {
+				t.Errorf("%s, %s: no slope %q", row.Role, row.Quantity, name)
+			}
+		}
+	}
+	if _, err := ReadSlopes(strings.NewReader("name,value,unit,command\nx,5,s,\n")); !errors.Is(err, ErrSlopes) {
+		t.Errorf("a figure without its run: %v", err)
+	}
+}
+
+func TestVerdict(t *testing.T) {
+	for want, row := range map[string]Row{
+		"met":          {Known: true, Value: 2, Budget: 2},
+		"missed":       {Known: true, Value: 2.1, Budget: 2},
+		"-":            {Known: true, Value: 2},
+		"not measured": {Budget: 2},
+	} {
+		if got := row.Verdict(); got != want {
+			t.Errorf("%+v: %s", row, got)
+		}
+	}
+}
--- /dev/null
+++ b/core/capacity/rows.go
@@ -0,0 +1,122 @@
+package capacity
+
+import "strings"
+
+const (
+	// nodeBytesBudget, nodeCPUBudget and nodeMemoryBudget are what a node may spend on
+	// control: bytes a second, share of a core in per cent, and megabytes.
+	nodeBytesBudget  = 21_000
+	nodeCPUBudget    = 2.2
+	nodeMemoryBudget = 64
+	// storeWriteBudget and storeReadBudget are the store's rates, in calls a second.
+	storeWriteBudget = 300
+	storeReadBudget  = 2000
+
+	// watchesPerController is the number of watches that wait for each cell: the sheet, the
+	// cells' records, the planned stops.
+	watchesPerController = 3
+	// watchSeconds is how long a watch waits.
+	watchSeconds = 30
+	// recordWritesPerRestart is the number of writes of a record for one node's restart: it
+	// leaves, joins, and its slices move back.
+	recordWritesPerRestart = 4
+	secondsPerDay          = 86400
+	secondsPerHour         = 3600
+	// regions is the number of regions; each has two failure domains.
+	regions = 3
+	// spreadSeconds is the time over which the cells of a lost domain write their records.
+	spreadSeconds = 3
+)
+
+// table builds rows from slopes.
+type table struct {
+	slopes Slopes
+	rows   []Row
+}
+
+// add appends a row that needs the named slopes; value is called when all are measured.
+func (t *table) add(role, quantity, unit string, budget float64, names []string, value func(of func(string) float64) float64) {
+	row := Row{Role: role, Quantity: quantity, Unit: unit, Budget: budget, Known: true, From: strings.Join(names, ", ")}
+	for _, name := range names {
+		row.Known = row.Known && t.slopes[name].Measured
+	}
+	if len(names) == 0 {
+		row.From = "arithmetic"
+	}
+	if row.Known {
+		row.Value = value(func(name string) float64 { return t.slopes[name].Value })
+	}
+	t.rows = append(t.rows, row)
+}
+
+func (t *table) count(role, quantity, unit string, budget, value float64) {
+	t.add(role, quantity, unit, budget, nil, func(func(string) float64) float64 { return value })
+}
+
+// Rows returns the table for a size.
+func Rows(s Size, slopes Slopes) []Row {
+	t := &table{slopes: slopes}
+	t.addNode(s)
+	t.addController(s)
+	t.addStore(s)
+	return t.rows
+}
+
+func (t *table) addNode(s Size) {
+	perNode := s.RequestsPerSecond / s.Nodes
+	t.count("entry", "requests", "1/s", 0, perNode)
+	t.add("entry", "processor time", "cores", 0, []string{"entry_cpu_us"}, func(of func(string) float64) float64 {
+		return perNode * of("entry_cpu_us") / 1e6
+	})
+	t.add("owner side", "processor time", "cores", 0, []string{"owner_cpu_us"}, func(of func(string) float64) float64 {
+		return perNode * of("owner_cpu_us") / 1e6
+	})
+	t.count("owner side", "slices held", "slices", 0, s.SlicesPerNode)
+	t.add("entry", "route table", "MB", nodeMemoryBudget, []string{"route_bytes_per_slice"}, func(of func(string) float64) float64 {
+		return s.Nodes * s.SlicesPerNode * of("route_bytes_per_slice") / 1e6
+	})
+	t.add("node", "account reports", "B/s", 0, []string{"report_bytes_fixed", "report_bytes_per_line"}, func(of func(string) float64) float64 {
+		return (of("report_bytes_fixed") + s.LinesPerNode*of("report_bytes_per_line")) / s.ReportSeconds
+	})
+}
+
+func (t *table) addController(s Size) {
+	t.add("controller", "bytes of control", "B/s", nodeBytesBudget, []string{"controller_bytes_per_node"}, func(of func(string) float64) float64 {
+		return s.NodesPerCell * of("controller_bytes_per_node")
+	})
+	t.add("controller", "processor time", "% of a core", nodeCPUBudget, []string{"controller_cpu_percent_per_node"}, func(of func(string) float64) float64 {
+		return s.NodesPerCell * of("controller_cpu_percent_per_node")
+	})
+	t.add("controller", "memory", "MB", nodeMemoryBudget, []string{"controller_memory_mb"}, func(of func(string) float64) float64 {
+		return of("controller_memory_mb")
+	})
+	t.add("controller", "account reports received", "B/s", 0, []string{"report_bytes_fixed", "report_bytes_per_line"}, func(of func(string) float64) float64 {
+		return s.NodesPerCell * (of("report_bytes_fixed") + s.LinesPerNode*of("report_bytes_per_line")) / s.ReportSeconds
+	})
+	names := []string{"segment_bytes_fixed", "segment_bytes_per_line", "segment_bytes_per_process"}
+	t.add("controller", "one segment of the account", "kB", 1000, names, func(of func(string) float64) float64 {
+		lines := s.LinesPerNode * s.NodesPerCell
+		return (of("segment_bytes_fixed") + lines*of("segment_bytes_per_line") + s.NodesPerCell*of("segment_bytes_per_process")) / 1000
+	})
+	t.add("sheet", "time until it is in force everywhere", "s", 9, []string{"sheet_seconds"}, func(of func(string) float64) float64 {
+		return of("sheet_seconds")
+	})
+}
+
+func (t *table) addStore(s Size) {
+	segments := s.Cells() / s.SegmentSeconds
+	sheets := 2 * s.SheetsPerDay / secondsPerDay
+	// Each controller writes its record once for a sheet.
+	records := s.Cells() * s.SheetsPerDay / secondsPerDay
+	atRest := segments + sheets + records
+	// A region has a third of the cells, and each of them nodes in the lost domain.
+	domainCells := s.Cells() / regions
+	restarts := s.RestartsPerDay * s.RestartShare / secondsPerHour
+	t.count("store", "cells", "cells", 0, s.Cells())
+	t.count("store", "writes at rest", "1/s", storeWriteBudget, atRest)
+	t.count("store", "polls at rest", "1/s", storeReadBudget, s.Cells()*watchesPerController/watchSeconds)
+	t.count("store", "writes in a morning's restarts", "1/s", storeWriteBudget, atRest+restarts*(recordWritesPerRestart+1))
+	t.count("store", "writes when a failure domain is lost", "1/s", storeWriteBudget,
+		atRest+2*domainCells/spreadSeconds)
+	t.count("store", "reads right after an outage", "1/s", storeReadBudget, watchesPerController*s.Cells())
+}
