Let the load settings reach the policies

Only the discipline and the share of retries had an effect; the other fields of [load] were checked and then ignored.

make demo on this tree failed twice of two at the clean stop (node-gyor-2, node-szeged-1 after 30 s); the log of szeged-1 shows all slices drained with nothing in doubt and then no move to leave, so it is not the owner's drain. Reported to the lead.

--- /dev/null
+++ b/node/load.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"github.com/auburnrelay/auburnrelay/core/admission"
+	"github.com/auburnrelay/auburnrelay/core/balance"
+	"github.com/auburnrelay/auburnrelay/core/pacing"
+	"github.com/auburnrelay/auburnrelay/node/settings"
+)
+
+// unpacedBits is a link rate in bits per second that paces nothing.
+const unpacedBits = 1e12
+
+// admissionPolicy returns the policy of admission that the settings ask for.
+func admissionPolicy(load settings.LoadPolicy) admission.Policy {
+	if load.Discipline == settings.DisciplineFirstCome {
+		return admission.BaselinePolicy()
+	}
+	policy := admission.DefaultPolicy()
+	policy.LongShare = 1 - load.ShortReserved
+	policy.LongFloor = load.LongWork.Std()
+	policy.DelayFloor = load.QueueDelay.Std()
+	policy.KeyShare = load.KeyShare
+	return policy
+}
+
+// pacingPolicy returns the policy of transfers to other regions that the settings ask for.
+func pacingPolicy(load settings.LoadPolicy) pacing.Policy {
+	policy := pacing.DefaultPolicy(regionNodes)
+	policy.LinkBits = load.RegionLinkMbits * 1e6 / policy.Share
+	if load.Discipline == settings.DisciplineFirstCome {
+		policy.LinkBits = unpacedBits
+	}
+	return policy
+}
+
+// balancePolicy returns the policy of shared services that the settings ask for.
+func balancePolicy(load settings.LoadPolicy) balance.Policy {
+	policy := balance.DefaultPolicy()
+	policy.Random = load.Discipline == settings.DisciplineFirstCome
+	policy.Warmup = load.WarmUp.Std()
+	return policy
+}
--- a/node/node.go
+++ b/node/node.go
@@ -13,7 +13,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
-	"github.com/auburnrelay/auburnrelay/core/admission"
 	"github.com/auburnrelay/auburnrelay/core/balance"
 	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
@@ -94,10 +93,8 @@
 		return err
 	}
 	ownerConfig := owner.DefaultConfig(regionNodes, bootclock.Now, n.log.With("part", "owner"))
-	if s.Load.Discipline == settings.DisciplineFirstCome {
-		ownerConfig.Admission = admission.BaselinePolicy()
-		ownerConfig.Pacing.LinkBits = unpacedBits
-	}
+	ownerConfig.Admission = admissionPolicy(s.Load)
+	ownerConfig.Pacing = pacingPolicy(s.Load)
 	ownerConfig.Metrics = metrics
 	ownerConfig.MaxConcurrent = s.Target.MaxConnections
 	n.sharer = sharing.New(sharing.Config{
@@ -111,9 +108,6 @@
 	return err
 }
 
-// unpacedBits is a link rate in bits per second that paces nothing.
-const unpacedBits = 1e12
-
 // regionNodes is the number of nodes that share a region's link.
 const regionNodes = 4
 
@@ -160,7 +154,7 @@
 			Router:  n.control,
 			Local:   n.owner,
 			Remote:  forward.NewClient(s.Cluster.Name, n.pool),
-			Chooser: &lockedChooser{region: s.Node.Region, picker: balance.New(balance.DefaultPolicy())},
+			Chooser: &lockedChooser{region: s.Node.Region, picker: balance.New(balancePolicy(s.Load))},
 			Budget:  &lockedBudget{budget: retry.New(policy)},
 			Ledger:  uncounted{},
 			Log:     n.log.With("part", "entry"),
--- a/node/settings/defaults.go
+++ b/node/settings/defaults.go
@@ -52,13 +52,13 @@
 func defaultLoad() LoadPolicy {
 	return LoadPolicy{
 		Discipline:      DisciplineProtected,
-		ShortReserved:   0.34,
-		LongWork:        Duration(time.Second),
-		QueueDelay:      Duration(50 * time.Millisecond),
+		ShortReserved:   0.67,
+		LongWork:        Duration(20 * time.Millisecond),
+		QueueDelay:      Duration(4 * time.Millisecond),
 		KeyShare:        0.5,
 		RetryShare:      0.1,
-		WarmUp:          Duration(10 * time.Second),
-		RegionLinkMbits: 20,
+		WarmUp:          Duration(3 * time.Second),
+		RegionLinkMbits: 18,
 	}
 }
 
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -119,17 +119,21 @@
 	Discipline string `toml:"discipline" validate:"oneof=protected first-come"`
 	// ShortReserved is the share of a target's slots that long work may not take.
 	ShortReserved float64 `toml:"short_reserved" validate:"gte=0,lt=1"`
-	// LongWork is the work time from which a request counts as long.
+	// LongWork is the work time below which no request counts as long; above it one does that
+	// takes many times longer than is typical.
 	LongWork Duration `toml:"long_work" validate:"gt=0"`
-	// QueueDelay is the time in queue above which new requests are shed.
+	// QueueDelay is the least time in queue at which requests are shed at overload; where work
+	// takes longer it is twice the typical work time.
 	QueueDelay Duration `toml:"queue_delay" validate:"gt=0"`
 	// KeyShare is the largest share of a target's slots that one key may take.
 	KeyShare float64 `toml:"key_share" validate:"gt=0,lte=1"`
 	// RetryShare is the number of internal retries allowed for each first try.
 	RetryShare float64 `toml:"retry_share" validate:"gte=0,lte=1"`
-	// WarmUp is the time over which a new target's share of work grows to its full size.
+	// WarmUp is the time over which a new target's share of the work of shared services grows
+	// to its full size.
 	WarmUp Duration `toml:"warm_up" validate:"gt=0"`
-	// RegionLinkMbits is the rate allowed to long transfers to other regions, in Mbit/s.
+	// RegionLinkMbits is the rate allowed to long transfers to other regions, in Mbit/s, over
+	// all nodes of the region.
 	RegionLinkMbits float64 `toml:"region_link_mbits" validate:"gt=0"`
 }
 
