--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/auburnrelay/auburnrelay/node/control"
 	"github.com/auburnrelay/auburnrelay/node/entry"
 	"github.com/auburnrelay/auburnrelay/node/forward"
+	"github.com/auburnrelay/auburnrelay/node/ledger"
 	"github.com/auburnrelay/auburnrelay/node/owner"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/node/settings"
@@ -51,6 +52,7 @@
 	sharer    *sharing.Sharer
 	control   *control.Control
 	pool      *forward.Pool
+	ledger    *ledger.Ledger
 	dispatch  *entry.Dispatcher
 	entry     *http.Server
 	admin     *http.Server
@@ -118,6 +120,7 @@
 		Incarnation:   control.NewIncarnation(),
 		Address:       s.Listen.AdvertisePeer,
 		EntryAddress:  s.Listen.AdvertiseEntry,
+		AdminAddress:  s.Listen.AdvertiseAdmin,
 		Region:        s.Node.Region,
 		FailureDomain: s.Node.FailureDomain,
 		Cell:          s.Node.Cell,
@@ -139,6 +142,7 @@
 func (n *Node) provisionEntry() error {
 	s := n.settings
 	n.pool = forward.NewPool(s.Limits.PeerConnections, grpc.WithContextDialer(dialFrom(s.Listen.Peer)))
+	n.ledger = n.newLedger()
 	policy := retry.DefaultPolicy()
 	policy.Ratio = s.Load.RetryShare
 	n.sharer.Attach(n.owner, &sharing.Peers{
@@ -156,7 +160,7 @@
 			Remote:  forward.NewClient(s.Cluster.Name, n.pool),
 			Chooser: &lockedChooser{region: s.Node.Region, picker: balance.New(balancePolicy(s.Load))},
 			Budget:  &lockedBudget{budget: retry.New(policy)},
-			Ledger:  uncounted{},
+			Ledger:  n.ledger,
 			Log:     n.log.With("part", "entry"),
 		})
 	limits := entry.Limits{
@@ -169,6 +173,20 @@
 	return nil
 }
 
+func (n *Node) newLedger() *ledger.Ledger {
+	account := n.settings.Account
+	return ledger.New(ledger.Config{
+		Cluster:         n.settings.Cluster.Name,
+		Self:            n.control.Self(),
+		ReportInterval:  account.ReportInterval.Std(),
+		SegmentInterval: account.SegmentInterval.Std(),
+		Silence:         account.Silence.Std(),
+		Logger:          n.log.With("part", "account"),
+		Registry:        n.registry,
+		Now:             time.Now,
+	}, n.store, n.control, n.pool)
+}
+
 func (n *Node) provisionServers() error {
 	options := append(control.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
@@ -177,6 +195,7 @@
 	n.peers = grpc.NewServer(options...)
 	n.control.Register(n.peers)
 	sharing.NewServer(n.settings.Cluster.Name, n.settings.Node.Cell, n.owner).Register(n.peers)
+	n.ledger.Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
 	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
 	n.admin = newAdminServer(adminSource{ready: n.ready, status: n.status, gatherer: n.registry})
