--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -33,6 +34,8 @@
 	inForceLimit = 20 * time.Second
 	readyLimit   = 30 * time.Second
 	readyCalls   = 20
+	// joinTime is the time for nodes and targets to be known before the sheet is applied.
+	joinTime = 4 * time.Second
 	// settle is the time for placement after the start of a fleet.
 	settle = 10 * time.Second
 )
@@ -175,10 +178,17 @@
 		return err
 	}
 	time.Sleep(b.scaled(settle))
-	return fleet.Await(readyLimit, b.serves)
+	var reasons map[string]int64
+	err := fleet.Await(readyLimit, func() bool {
+		reasons = b.refusals()
+		return len(reasons) == 0
+	})
+	return errors.Wrapf(err, "refusals %v", reasons)
 }
 
+// applySheet waits until the nodes know one another and applies the sheet.
 func (b *bench) applySheet(text string) error {
+	time.Sleep(joinTime)
 	path := filepath.Join(b.fleet.Dir, "sheet.csv")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write sheet")
@@ -190,19 +200,14 @@
 	return err
 }
 
-// serves tells whether a few requests of each kind are all answered.
-func (b *bench) serves() bool {
+// refusals sends a few requests of each kind and returns why some were not answered.
+func (b *bench) refusals() map[string]int64 {
 	result, err := b.load(b.plan(load.Phase{Name: "ready", Duration: load.Duration(time.Second), Rate: readyCalls},
 		b.short(keyed, 1), b.short(shared, 1)))
 	if err != nil {
-		return false
+		return map[string]int64{err.Error(): 1}
 	}
-	for _, tally := range result.Phases[0].Kinds {
-		if tally.Outcomes[load.Answered] != tally.Sent {
-			return false
-		}
-	}
-	return true
+	return result.Phases[0].Reasons
 }
 
 // scaled shortens a duration in the short form.
@@ -217,10 +222,15 @@
 	return load.Phase{Name: name, Duration: load.Duration(b.scaled(d)), Rate: rate}
 }
 
-// short is the kind of short work of a service, with its share of the requests.
+// short is the kind of short work of a service, with its share of the requests: bookings of
+// the keyed service and lookups of the shared one.
 func (b *bench) short(service string, share float64) load.Kind {
+	method := http.MethodPost
+	if service == shared {
+		method = http.MethodGet
+	}
 	return load.Kind{
-		Name: service, Service: service, Method: "POST", Share: share, Deadline: load.Duration(b.profile.Deadline),
+		Name: service, Service: service, Method: method, Share: share, Deadline: load.Duration(b.profile.Deadline),
 	}
 }
 
