Let the region link of the stand-in queue what all connections send

The relay let each connection wait for the rate with one chunk, so a short message waited behind a few kilobytes at most however many transfers ran: a link without the buffer that every slow link has. All connections share one queue of 256 KiB now.

--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -136,6 +136,26 @@
 	}
 }
 
+// TestShortMessageWaitsBehindTheBuffer fills the buffer before the region link: what comes
+// on another connection must wait for it to drain, but no longer.
+func TestShortMessageWaitsBehindTheBuffer(t *testing.T) {
+	const mbits = 40.0
+	full := time.Duration(bufferBytes / (mbits * bytesPerMegabit) * float64(time.Second))
+	r := startRelay(t, Plan{RegionMbits: mbits})
+	long, short := dial(t, r, fromGyor), dial(t, r, fromGyor)
+	roundTrip(t, short, "x")
+	go func() { _, _ = long.Write(make([]byte, 16*bufferBytes)) }()
+	go func() { _, _ = io.Copy(io.Discard, long) }()
+	var worst time.Duration
+	for began := time.Now(); time.Since(began) < 4*full; {
+		worst = max(worst, roundTrip(t, short, "x"))
+	}
+	// Half of it leaves room for a reader that starts late; a round trip crosses two buffers.
+	if worst < full/2 || worst > 3*full {
+		t.Errorf("worst round trip %v, a full buffer takes %v", worst, full)
+	}
+}
+
 func TestCutsStallAndHeal(t *testing.T) {
 	rows := []struct {
 		name, a, b string
--- a/standin/link/relay.go
+++ b/standin/link/relay.go
@@ -16,6 +16,8 @@
 	// chunkBytes is the most that is sent over the region link at once, so that a small
 	// message waits behind little of a large one.
 	chunkBytes = 4 << 10
+	// bufferBytes is the size of the buffer before the region link, each way.
+	bufferBytes = 256 << 10
 	// queueChunks bounds what is under way on one connection.
 	queueChunks     = 64
 	dialTimeout     = 2 * time.Second
@@ -28,9 +30,12 @@
 	to   string
 }
 
-// lane is the shared capacity and the count of one direction.
+// lane is the shared capacity and the count of one direction: a queue that all connections
+// share in order of arrival, as the buffer before a slow link is.
 type lane struct {
 	limiter *rate.Limiter
+	// longest is the time that a full buffer takes to cross; senders wait for room in it.
+	longest time.Duration
 	bytes   atomic.Int64
 }
 
@@ -197,10 +202,11 @@
 		data := make([]byte, chunkBytes)
 		n, err := from.Read(data)
 		if n > 0 {
-			if lane != nil && !lane.take(ctx, n) {
+			queued, ok := lane.enqueue(ctx, n)
+			if !ok {
 				return
 			}
-			chunks <- chunk{data: data[:n], due: time.Now().Add(delay)}
+			chunks <- chunk{data: data[:n], due: time.Now().Add(queued + delay)}
 		}
 		if err != nil {
 			return
@@ -208,12 +214,18 @@
 	}
 }
 
-func (l *lane) take(ctx context.Context, n int) bool {
-	if l.limiter.WaitN(ctx, n) != nil {
-		return false
+// enqueue puts n bytes into the buffer, once there is room, and returns how long they stay in
+// it. A nil lane has no queue.
+func (l *lane) enqueue(ctx context.Context, n int) (time.Duration, bool) {
+	if l == nil {
+		return 0, true
 	}
+	queued := l.limiter.ReserveN(time.Now(), n).Delay()
 	l.bytes.Add(int64(n))
-	return true
+	if excess := queued - l.longest; excess > 0 {
+		return l.longest, pause(ctx, excess)
+	}
+	return queued, true
 }
 
 func send(to io.Writer, data []byte) bool {
@@ -252,7 +264,10 @@
 	d := direction{from.Region, to.Region}
 	if r.lanes[d] == nil {
 		bytesPerSecond := r.plan.RegionMbits * bytesPerMegabit
-		r.lanes[d] = &lane{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), chunkBytes)}
+		r.lanes[d] = &lane{
+			limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), chunkBytes),
+			longest: time.Duration(bufferBytes / bytesPerSecond * float64(time.Second)),
+		}
 	}
 	return r.lanes[d]
 }
