--- a/node/owner/faults_test.go
+++ b/node/owner/faults_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -148,7 +147,7 @@
 func moved(s *stand) *stand {
 	windows := make(chan []byte, 1)
 	s.owner.Drain(bookings.SliceOf("bay/7"), func(window []byte) { windows <- window })
-	next := newStand(s.t, nil)
+	next := newStand(s.t)
 	next.adopt(9, time.Now(), <-windows)
 	return next
 }
@@ -156,7 +155,7 @@
 // lost leaves the slice to a second node that was told nothing.
 func lost(s *stand) *stand {
 	s.owner.End([]keyspace.SliceID{bookings.SliceOf("bay/7")}, "test")
-	next := newStand(s.t, nil)
+	next := newStand(s.t)
 	next.owner.End([]keyspace.SliceID{bookings.SliceOf("bay/7")}, "test")
 	next.adopt(9, time.Now().Add(time.Millisecond), nil)
 	return next
@@ -173,6 +172,7 @@
 		"pooled-connection-closed-before-send": {before: func(s *stand) {
 			s.serve(lookup(manuals, "first"))
 			s.fake.server.CloseClientConnections()
+			eventually(s.t, "the close noticed", func() bool { return s.link.OpenConns() == 0 })
 		}},
 		"refused-shed":     {work: refuses("shed", 503)},
 		"refused-fence":    {work: refuses("fence", 412)},
@@ -248,7 +248,7 @@
 }
 
 func (f fault) play(t *testing.T) string {
-	s := newStand(t, nil)
+	s := newStand(t)
 	if f.before != nil {
 		f.before(s)
 	}
@@ -311,17 +311,18 @@
 	return s.owner.Serve(s.t.Context(), q, &answerSink{})
 }
 
-// TestUnreachableTargetIsNotRun dials an address where nobody listens.
+// TestUnreachableTargetIsNotRun sends to a target that listens no more.
 func TestUnreachableTargetIsNotRun(t *testing.T) {
-	s := newStand(t, nil)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener.Close()
-	s.fake.server.Close()
+	s := newStand(t)
+	s.fake.server.Listener.Close()
+	s.fake.server.CloseClientConnections()
+	eventually(t, "connections closed", func() bool { return s.link.OpenConns() == 0 })
+	began := time.Now()
 	result, _ := s.serve(booking(ulid.Make(), 1))
-	if result.Outcome != outcome.NotRun {
-		t.Errorf("got %v %v", result.Outcome, result.Reason)
+	if took := time.Since(began); result.Outcome != outcome.NotRun || took > 2*time.Second {
+		t.Errorf("got %v %v after %v", result.Outcome, result.Reason, took)
 	}
+	eventually(t, "target absent", func() bool { return s.owner.Report().State == plane.TargetAbsent })
+	result, _ = s.serve(booking(ulid.Make(), 1))
+	expect(t, result, outcome.NotRun, outcome.ReasonTargetAbsent)
 }
--- a/node/owner/owner_test.go
+++ b/node/owner/owner_test.go
@@ -68,7 +68,7 @@
 		work(w, r)
 	})
 	f.server = httptest.NewServer(mux)
-	t.Cleanup(f.server.Close)
+	t.Cleanup(func() { f.server.CloseClientConnections(); f.server.Close() })
 	f.setWork(func(w http.ResponseWriter, r *http.Request) {
 		f.ran(r)
 		_, _ = io.WriteString(w, "done "+r.URL.Path)
@@ -101,6 +101,7 @@
 	return f.executions[id.String()]
 }
 
+// total counts all starts of work.
 func (f *fakeTarget) total() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -177,7 +178,7 @@
 	manuals  = keyspace.Range{Service: "manuals", Kind: keyspace.Shared, Slices: 1}
 )
 
-func newStand(t *testing.T, change func(*Config)) *stand {
+func newStand(t *testing.T) *stand {
 	t.Helper()
 	s := &stand{t: t, fake: newFakeTarget(t), begin: time.Now().Add(-time.Hour)}
 	logger := slog.New(slog.DiscardHandler)
@@ -188,10 +189,6 @@
 		t.Fatal(err)
 	}
 	cfg := DefaultConfig(1, s.clock, logger)
-	cfg.Admission.Warmup = 0
-	if change != nil {
-		change(&cfg)
-	}
 	if s.owner, err = New(cfg, s.link); err != nil {
 		t.Fatal(err)
 	}
@@ -286,7 +283,7 @@
 }
 
 func TestServeAnswersWhole(t *testing.T) {
-	s := newStand(t, nil)
+	s := newStand(t)
 	id := ulid.Make()
 	result, sink := s.serve(booking(id, 1))
 	expect(t, result, outcome.Answered, "")
