--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 PROTOC_GEN_GO_GRPC := google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2
 
-.PHONY: demo test build tools generate check-generated format check-format lint tidy check-tidy clean
+.PHONY: demo test measure measure-check build tools generate check-generated format check-format lint tidy check-tidy clean
 
 # Builds everything and runs the demonstration as separate processes.
 demo: build
@@ -20,6 +20,16 @@
 test:
 	@set -e; for m in $(MODULES); do (cd $$m && go test ./...); done
 
+# Measures both deployments under load, against the baseline; takes about 20 minutes and the
+# processors of a whole machine.
+measure: build
+	$(BUILD)/measure --bin $(BUILD)
+
+# Checks in about a minute that the measurements work; its figures are of no use.
+measure-check: build
+	$(BUILD)/measure --bin $(BUILD) --short --no-baseline --scenario overhead
+	$(BUILD)/measure --bin $(BUILD) --short --no-baseline --profile horsebox --scenario crest
+
 build:
 	@mkdir -p $(BUILD)
 	@cd cmd/auburnrelay && go build -o $(BUILD)/auburnrelay .
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -15,7 +15,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -123,12 +122,20 @@
 			addBaseline(figures, baseline)
 		}
 		for _, f := range figures {
-			fmt.Fprintf(o.Out, "measure %s.%s\n", p.Name, f)
+			f.name = p.Name + "." + f.name
+			if err := o.print(f); err != nil {
+				return ran, err
+			}
 		}
 	}
 	return ran, nil
 }
 
+func (o Options) print(f figure) error {
+	_, err := fmt.Fprintf(o.Out, "measure %s\n", f)
+	return errors.Wrap(err, "print")
+}
+
 const baselineSettings = "[load]\ndiscipline = \"first-come\"\n"
 
 func runOn(ctx context.Context, o Options, p Profile, s scenario, settings string) ([]figure, error) {
@@ -264,36 +271,3 @@
 	}
 	return result, err
 }
-
-// figure is one measured value.
-type figure struct {
-	name     string
-	value    float64
-	unit     string
-	baseline string
-	target   string
-	// note tells how the value came about.
-	note string
-}
-
-// String returns the figure as it is printed.
-func (f figure) String() string {
-	baseline := f.baseline
-	if baseline == "" {
-		baseline = "none"
-	}
-	line := fmt.Sprintf("%s %s %s baseline=%s target=%s", f.name, format(f.value), f.unit, baseline, f.target)
-	return strings.TrimRight(line+" "+f.note, " ")
-}
-
-func format(v float64) string { return fmt.Sprintf("%.3g", v) }
-
-func addBaseline(figures, baseline []figure) {
-	for i := range figures {
-		for _, other := range baseline {
-			if other.name == figures[i].name {
-				figures[i].baseline = format(other.value)
-			}
-		}
-	}
-}
--- a/standin/measure/overhead.go
+++ b/standin/measure/overhead.go
@@ -63,16 +63,8 @@
 			return errors.Wrap(err, w.name)
 		}
 	}
-	direct := latency["direct"]
-	for _, name := range []string{"one-hop", "two-hops"} {
-		b.print(figure{
-			name: "overhead." + name + ".added-p50", value: latency[name].P50 - direct.P50, unit: "ms", target: "none",
-			baseline: format(direct.P50), note: fmt.Sprintf("(through %s, direct %s)", format(latency[name].P50), format(direct.P50)),
-		})
-		b.print(figure{
-			name: "overhead." + name + ".added-p99", value: latency[name].P99 - direct.P99, unit: "ms", target: "none",
-			baseline: format(direct.P99), note: fmt.Sprintf("(through %s, direct %s)", format(latency[name].P99), format(direct.P99)),
-		})
+	if err := b.printAdded(latency); err != nil {
+		return err
 	}
 	for _, w := range ways()[1:] {
 		if err := b.throughput(w); err != nil {
@@ -82,6 +74,29 @@
 	return nil
 }
 
+// printAdded prints what each way through nodes adds to the latency of the direct way.
+func (b overheadBench) printAdded(latency map[string]load.Latency) error {
+	direct := latency["direct"]
+	for _, w := range ways()[1:] {
+		through := latency[w.name]
+		name := "overhead." + w.name
+		if err := b.options.print(added(name+".added-p50", through.P50, direct.P50)); err != nil {
+			return err
+		}
+		if err := b.options.print(added(name+".added-p99", through.P99, direct.P99)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func added(name string, through, direct float64) figure {
+	return figure{
+		name: name, value: through - direct, unit: "ms", baseline: format(direct), target: "none",
+		note: fmt.Sprintf("(through %s, direct %s)", format(through), format(direct)),
+	}
+}
+
 type overheadBench struct {
 	bench
 }
@@ -124,8 +139,6 @@
 	})
 }
 
-func (b overheadBench) print(f figure) { fmt.Fprintf(b.options.Out, "measure %s\n", f) }
-
 func (b overheadBench) planFor(w way, d time.Duration, rate float64) load.Plan {
 	plan := b.plan(b.phase(w.name, d, rate), b.short(keyed, 1))
 	w.plan(b, &plan)
@@ -157,13 +170,12 @@
 	}
 	tally := result.Phases[0].Kinds[keyed]
 	used := (after - before).Seconds()
-	b.print(figure{
+	return b.options.print(figure{
 		name: "overhead." + w.name + ".requests-per-core-second", value: float64(tally.Outcomes[load.Answered]) / used,
 		unit: "requests", target: "none",
 		note: fmt.Sprintf("(%d of %d answered, %.2f s of a core in all nodes, late starts %d)",
 			tally.Outcomes[load.Answered], tally.Sent, used, result.LateStarts),
 	})
-	return nil
 }
 
 // processorTime returns the processor time that the nodes have used so far.
