--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -24,8 +23,10 @@
 	"github.com/auburnrelay/auburnrelay/node/owner"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/node/settings"
+	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
 	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/client"
 )
 
 const (
@@ -49,6 +50,7 @@
 	store     platform.Store
 	link      *target.Link
 	owner     *owner.Owner
+	sharer    *sharing.Sharer
 	control   *control.Control
 	pool      *forward.Pool
 	dispatch  *entry.Dispatcher
@@ -64,10 +66,25 @@
 	entry, peer, target, admin net.Listener
 }
 
+// pollMargin is how much longer than its wait a poll of the store may take.
+const pollMargin = 2 * time.Second
+
+// storeOptions returns the call budget and the times of the node's store calls.
+func storeOptions(s settings.Store, registry prometheus.Registerer) client.Options {
+	return client.Options{
+		CallsPerSecond: s.CallsPerSecond,
+		Burst:          s.CallBurst,
+		AttemptTimeout: s.RequestTimeout.Std(),
+		PollTimeout:    s.WatchWait.Std() + pollMargin,
+		Registerer:     registry,
+	}
+}
+
 // Provision builds a node from its settings over the store and opens its ports. It fails
 // with the first part that cannot be built; nothing stays open then.
 func Provision(s *settings.Settings, store platform.Store, log *slog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, store: store, registry: prometheus.NewRegistry()}
+	n := &Node{settings: s, log: log, registry: prometheus.NewRegistry()}
+	n.store = client.New(store, storeOptions(s.Store, n.registry))
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, step := range []func() error{n.provisionOwner, n.provisionControl, n.provisionEntry, n.provisionServers, n.listen} {
 		if err := step(); err != nil {
@@ -99,6 +116,12 @@
 	}
 	ownerConfig.Metrics = metrics
 	ownerConfig.MaxConcurrent = s.Target.MaxConnections
+	n.sharer = sharing.New(sharing.Config{
+		Cell:   s.Node.Cell,
+		Policy: ownerConfig.Quarantine,
+		Log:    n.log.With("part", "sharing"),
+	}, n.store)
+	ownerConfig.Sharer = n.sharer
 	n.link = link
 	n.owner, err = owner.New(ownerConfig, link)
 	return err
@@ -114,7 +137,7 @@
 	s := n.settings
 	self := plane.Peer{
 		Name:          s.Node.Name,
-		Incarnation:   rand.Uint64(),
+		Incarnation:   control.NewIncarnation(),
 		Address:       s.Listen.AdvertisePeer,
 		EntryAddress:  s.Listen.AdvertiseEntry,
 		Region:        s.Node.Region,
@@ -140,6 +163,13 @@
 	n.pool = forward.NewPool(s.Limits.PeerConnections, grpc.WithContextDialer(dialFrom(s.Listen.Peer)))
 	policy := retry.DefaultPolicy()
 	policy.Ratio = s.Load.RetryShare
+	n.sharer.Attach(n.owner, &sharing.Peers{
+		Cluster: s.Cluster.Name,
+		Cell:    s.Node.Cell,
+		Pool:    n.pool,
+		Members: n.cellMembers,
+		Log:     n.log.With("part", "sharing"),
+	})
 	n.dispatch = entry.NewDispatcher(
 		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause},
 		entry.Parts{
@@ -162,11 +192,13 @@
 }
 
 func (n *Node) provisionServers() error {
-	n.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+	options := append(control.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
 		PermitWithoutStream: true,
 	}))
+	n.peers = grpc.NewServer(options...)
 	n.control.Register(n.peers)
+	sharing.NewServer(n.settings.Cluster.Name, n.settings.Node.Cell, n.owner).Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
 	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
 	n.admin = newAdminServer(adminSource{ready: n.ready, status: n.status, gatherer: n.registry})
@@ -174,6 +206,17 @@
 	return nil
 }
 
+// cellMembers returns the other nodes of the cell.
+func (n *Node) cellMembers() []plane.Peer {
+	var others []plane.Peer
+	for _, m := range n.control.Status().Members {
+		if m.Peer.Name != n.settings.Node.Name {
+			others = append(others, m.Peer)
+		}
+	}
+	return others
+}
+
 func (n *Node) listen() error {
 	wanted := []struct {
 		field   string
