Take the store's call budget out of the node again

The logs name the cause: at its start the account reads the first segment of 13 months, uses up the process's budget, and the cell's record is then "not written: store call budget exhausted".

Conclusion: the budget needs precedence for the control side (a reserve that the account may not touch) and a default that carries a start, before it is wired. Until then the settings store.calls_per_second, call_burst and request_timeout have no effect.

--- a/node/node.go
+++ b/node/node.go
@@ -27,7 +27,6 @@
 	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
 	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/client"
 )
 
 const (
@@ -68,25 +67,10 @@
 	entry, peer, target, admin net.Listener
 }
 
-// pollMargin is how much longer than its wait a poll of the store may take.
-const pollMargin = 2 * time.Second
-
-// storeOptions returns the call budget and the times of the node's store calls.
-func storeOptions(s settings.Store, registry prometheus.Registerer) client.Options {
-	return client.Options{
-		CallsPerSecond: s.CallsPerSecond,
-		Burst:          s.CallBurst,
-		AttemptTimeout: s.RequestTimeout.Std(),
-		PollTimeout:    s.WatchWait.Std() + pollMargin,
-		Registerer:     registry,
-	}
-}
-
 // Provision builds a node from its settings over the store and opens its ports. It fails
 // with the first part that cannot be built; nothing stays open then.
 func Provision(s *settings.Settings, store platform.Store, log *slog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, registry: prometheus.NewRegistry()}
-	n.store = client.New(store, storeOptions(s.Store, n.registry))
+	n := &Node{settings: s, log: log, store: store, registry: prometheus.NewRegistry()}
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, step := range []func() error{n.provisionOwner, n.provisionControl, n.provisionEntry, n.provisionServers, n.listen} {
 		if err := step(); err != nil {
