Log routing decisions with their reason, sampled; split the dispatcher

A learned owner of another cell that refused was asked again until the hold ended; it is now forgotten, and a contact of the cell is asked (the new test failed before). Refusals of a target that starts or drains are tried again as package outcome says.

--- /dev/null
+++ b/node/entry/decisions.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// decisionKind names a routing decision.
+type decisionKind int
+
+const (
+	routed decisionKind = iota
+	redirected
+	held
+	refused
+	decisionKinds
+)
+
+// String returns the message of the decision's log line.
+func (k decisionKind) String() string {
+	return [decisionKinds]string{"routed", "redirected", "held", "refused"}[k]
+}
+
+// Reasons of the decision where a request goes first.
+const (
+	reasonOwnSlice   = "this node owns the slice"
+	reasonKnownOwner = "the route table names the owner"
+	reasonContact    = "a node of the range's cell knows the owner"
+	reasonBalance    = "least expected wait of two"
+)
+
+// decisions writes a log line for one in every so many routing decisions of each kind, the
+// first included.
+type decisions struct {
+	log    *slog.Logger
+	every  uint64
+	counts [decisionKinds]atomic.Uint64
+}
+
+func (d *decisions) write(ctx context.Context, kind decisionKind, r *plane.Request, node, reason string) {
+	if (d.counts[kind].Add(1)-1)%d.every != 0 || !d.log.Enabled(ctx, slog.LevelInfo) {
+		return
+	}
+	d.log.LogAttrs(ctx, slog.LevelInfo, kind.String(),
+		slog.String("service", r.Service),
+		slog.String("key", r.Key),
+		slog.String("slice", r.Slice.String()),
+		slog.String("node", node),
+		slog.Uint64("attempt", r.Attempt),
+		slog.String("reason", reason),
+		slog.Uint64("one_in", d.every))
+}
+
+// refusedFor writes the end of a request that was not answered.
+func (d *decisions) refusedFor(ctx context.Context, r *plane.Request, result plane.Result) {
+	if result.Outcome != outcome.Answered {
+		d.write(ctx, refused, r, "", result.Outcome.String()+": "+string(result.Reason))
+	}
+}
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -28,16 +28,17 @@
 // script is a router, a local server and a forwarder that answer from lists: one owner, then
 // one end for each try. The last of a list repeats.
 type script struct {
-	mu      sync.Mutex
-	kind    keyspace.Kind
-	owners  []plane.Peer
-	ends    []forward.Reply
-	tries   int
-	locates int
-	learned []plane.Peer
-	granted int
-	counted []outcome.Outcome
-	changed chan struct{}
+	mu       sync.Mutex
+	kind     keyspace.Kind
+	owners   []plane.Peer
+	ends     []forward.Reply
+	tries    int
+	locates  int
+	learned  []plane.Peer
+	contacts []plane.Peer
+	granted  int
+	counted  []outcome.Outcome
+	changed  chan struct{}
 }
 
 func (s *script) Locate(service, _ string) (plane.Route, error) {
@@ -49,7 +50,7 @@
 	owner := s.owners[min(s.locates, len(s.owners)-1)]
 	s.locates++
 	rng := keyspace.Range{Service: service, Kind: s.kind, Slices: 1}
-	return plane.Route{Range: rng, Owner: owner, Candidates: []plane.Peer{self, other}}, nil
+	return plane.Route{Range: rng, Owner: owner, Candidates: []plane.Peer{self, other}, Contacts: s.contacts}, nil
 }
 
 func (s *script) Learn(_ keyspace.SliceID, owner plane.Peer) { s.learned = append(s.learned, owner) }
@@ -229,9 +230,11 @@
 		{"booking refused by a former owner", "POST", keyspace.Keyed, []plane.Peer{other, self}, []forward.Reply{notRun(outcome.ReasonLeaseLapsed), answered()}, 0, 2, outcome.Answered, 200},
 		{"no owner, then one", "POST", keyspace.Keyed, []plane.Peer{{}, self}, []forward.Reply{answered()}, 0, 1, outcome.Answered, 200},
 		{"no owner at all", "POST", keyspace.Keyed, []plane.Peer{{}}, nil, 0, 0, outcome.NotRun, 503},
+		{"target of the owner starts", "POST", keyspace.Keyed, []plane.Peer{other, self}, []forward.Reply{notRun(outcome.ReasonTargetStarting), answered()}, 0, 2, outcome.Answered, 200},
 		{"shed", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonShed)}, 9, 1, outcome.NotRun, 503},
 		{"quarantined", "POST", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonQuarantined)}, 9, 1, outcome.NotRun, 508},
 		{"shared, first replica refuses", "GET", keyspace.Shared, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonTargetRefused), answered()}, 1, 2, outcome.Answered, 200},
+		{"shared, first target sheds", "GET", keyspace.Shared, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonTargetShed), answered()}, 1, 2, outcome.Answered, 200},
 		{"shared, budget used up", "GET", keyspace.Shared, []plane.Peer{other}, []forward.Reply{notRun(outcome.ReasonTargetRefused), answered()}, 0, 1, outcome.NotRun, 503},
 		{"cut answer", "GET", keyspace.Keyed, []plane.Peer{other}, []forward.Reply{cut, answered()}, 9, 1, outcome.Unknown, 0},
 	}
@@ -251,6 +254,8 @@
 				}
 			} else if err != nil || resp.StatusCode != c.status {
 				t.Fatalf("got %v, %v", resp, err)
+			} else if _, err := io.ReadAll(resp.Body); err != nil {
+				t.Errorf("answer not whole: %v", err)
 			}
 			if s.tries != c.tries {
 				t.Errorf("%d tries, want %d", s.tries, c.tries)
@@ -261,3 +266,34 @@
 		})
 	}
 }
+
+// TestLearnedOwnerIsForgotten lets a learned owner in another cell refuse; the next try must
+// ask a contact of that cell again.
+func TestLearnedOwnerIsForgotten(t *testing.T) {
+	s := &script{kind: keyspace.Keyed, owners: []plane.Peer{other}, contacts: []plane.Peer{other},
+		ends: []forward.Reply{refusedFor(outcome.NotRun, outcome.ReasonPeerUnreachable), answered()}}
+	resp, err := http.Get(s.start(t).URL + "/v1/booking/k")
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	_, _ = io.ReadAll(resp.Body)
+	if len(s.learned) != 1 || s.learned[0].Name != "" {
+		t.Errorf("learned %v, want the owner forgotten", s.learned)
+	}
+}
+
+// TestDecisionsAreSampled writes one line in ten of each kind, with its reason.
+func TestDecisionsAreSampled(t *testing.T) {
+	var out strings.Builder
+	d := decisions{log: slog.New(slog.NewTextHandler(&out, nil)), every: 10}
+	for range 20 {
+		d.write(t.Context(), routed, &plane.Request{Service: "booking", Key: "k"}, "vm-2", reasonKnownOwner)
+	}
+	d.write(t.Context(), held, &plane.Request{Service: "booking", Key: "k"}, "", string(outcome.ReasonNoOwner))
+	if strings.Count(out.String(), "msg=routed") != 2 || strings.Count(out.String(), "msg=held") != 1 {
+		t.Errorf("lines:\n%s", out.String())
+	}
+	if !strings.Contains(out.String(), reasonKnownOwner) {
+		t.Error("a line has no reason")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -153,7 +153,7 @@
 		Log:     n.log.With("part", "sharing"),
 	})
 	n.dispatch = entry.NewDispatcher(
-		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause},
+		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause, DecisionSample: s.Log.DecisionSample},
 		entry.Parts{
 			Router:  n.control,
 			Local:   n.owner,
