--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -82,6 +82,8 @@
 	quietUntil time.Duration
 	// expected has the nodes that have not yet reported to the epoch.
 	expected map[string]bool
+	// pokedAt is when those were last asked to report.
+	pokedAt time.Duration
 	// since is when the epoch began, from the controller's own view.
 	since time.Duration
 
@@ -122,7 +124,7 @@
 // report holding the slice.
 func (m *Machine) becomeController() {
 	c := &controller{
-		epoch: m.rec.Epoch, since: m.now, askAt: -time.Hour, authority: m.now,
+		epoch: m.rec.Epoch, since: m.now, pokedAt: m.now, askAt: -time.Hour, authority: m.now,
 		quiet: !m.guards.noQuiet, quietUntil: m.now + m.timing.wait(m.timing.Lease),
 		asked:    make(map[uint64]time.Duration),
 		expected: make(map[string]bool),
@@ -197,6 +199,21 @@
 		m.endQuiet("every node has reported")
 	case m.now > c.quietUntil:
 		m.endQuiet("former leases have lapsed")
+	case m.now-c.pokedAt >= pokeInterval:
+		m.pokeExpected()
+	}
+}
+
+// pokeInterval is the time between two requests to the nodes that have not reported.
+const pokeInterval = 250 * time.Millisecond
+
+func (m *Machine) pokeExpected() {
+	c := m.ctl
+	c.pokedAt = m.now
+	for _, name := range sortedNames(c.expected) {
+		if n, ok := m.rec.Node(name); ok && name != m.self.Name {
+			m.poke(n)
+		}
 	}
 }
 
--- a/core/cell/holder_test.go
+++ b/core/cell/holder_test.go
@@ -205,3 +205,23 @@
 		}
 	}
 }
+
+// TestCandidateReadsFirst checks that a node does not take over by a record that it read
+// before the controller fell silent.
+func TestCandidateReadsFirst(t *testing.T) {
+	l := newLone(func(*guards) {}, true)
+	l.now += 5 * time.Second
+	l.beat()
+	l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
+	for range 500 {
+		l.step(Tick{})
+	}
+	if l.wrote != nil {
+		t.Errorf("took over by a write on version %d without a read", l.wrote.Expected)
+	}
+	l.step(RecordRead{Status: ReadFound, Version: 1, Record: l.m.rec})
+	l.step(Tick{})
+	if l.wrote == nil {
+		t.Error("no takeover after a read that shows the same version")
+	}
+}
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -46,6 +46,8 @@
 	reading   bool
 	readAt    time.Duration
 	storeDown bool
+	// confirmed is when the record was last read, also at an unchanged version.
+	confirmed time.Duration
 	// versionSeen is when the present version was first seen.
 	versionSeen time.Duration
 	write       *write
@@ -215,6 +217,7 @@
 	case ReadFound:
 		m.storeDown = false
 		m.absent = false
+		m.confirmed = m.now
 		m.resolve(e)
 		m.learn(e.Version, e.Record)
 		m.moveVersion(e.Version)
--- a/core/cell/standby.go
+++ b/core/cell/standby.go
@@ -108,7 +108,9 @@
 		return ""
 	case m.isStandby() && m.now > m.standby.until:
 		return "the promise to the controller has lapsed"
-	case m.rec.Standby.IsZero() && m.silent() && m.soloLapsed():
+	case !m.silent() || m.confirmed <= m.holder.heard:
+		return "" // the controller answers, or the record may have changed unseen
+	case m.rec.Standby.IsZero() && m.soloLapsed():
 		return "the controller without a standby has stopped renewing the record"
 	case m.bothLost():
 		return "controller and standby are lost"
@@ -133,7 +135,7 @@
 // the version known here fails.
 func (m *Machine) bothLost() bool {
 	grace := m.timing.wait(m.timing.Promise)
-	if m.rec.Standby.IsZero() || m.isStandby() || !m.silent() {
+	if m.rec.Standby.IsZero() || m.isStandby() {
 		return false
 	}
 	at, ok := m.gone[m.rec.Standby]
--- a/core/cell/walk_test.go
+++ b/core/cell/walk_test.go
@@ -168,6 +168,8 @@
 const (
 	walkLength = 90 * time.Second
 	walkCalmAt = 65 * time.Second
+	// handoverTime is allowed for a planned move that is under way at the end.
+	handoverTime = 500 * time.Millisecond
 )
 
 // calm mends everything, so that the cells must recover.
@@ -200,6 +202,9 @@
 	if least := walkSlices * len(w.sheets[0].Services[0].Ranges); want < least {
 		w.violate("the records hold %d slices, the sheet has %d", want, least)
 	}
+	for end := w.t + handoverTime; w.served() != want && w.t < end; {
+		w.run(w.t + 10*time.Millisecond)
+	}
 	if got := w.served(); len(w.bad) == 0 && got != want {
 		w.violate("%d of %d slices are served after the faults ended", got, want)
 	}
