--- /dev/null
+++ b/standin/faults/operators_test.go
@@ -0,0 +1,203 @@
+package faults
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+)
+
+// quickAccount makes the account follow within seconds.
+const quickAccount = `[account]
+report_interval = "1s"
+segment_interval = "2s"
+silence = "5s"
+`
+
+func withQuickAccount(o *Options) { o.Settings = quickAccount }
+
+// account is the part of "account --json" that the tests read.
+type account struct {
+	Rows []struct {
+		Answered int `json:"answered"`
+		NotRun   int `json:"not_run"`
+		Unknown  int `json:"unknown"`
+	} `json:"rows"`
+	Cells []struct {
+		Gaps []struct {
+			Node string `json:"node"`
+		} `json:"gaps"`
+	} `json:"cells"`
+}
+
+func (a account) totals() (answered, notRun, unknown int) {
+	for _, row := range a.Rows {
+		answered += row.Answered
+		notRun += row.NotRun
+		unknown += row.Unknown
+	}
+	return answered, notRun, unknown
+}
+
+func (a account) hasGap(node string) bool {
+	for _, c := range a.Cells {
+		for _, gap := range c.Gaps {
+			if gap.Node == node {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func readAccount(t *testing.T, s *Scene) account {
+	t.Helper()
+	out, err := s.Fleet.Relay("account", "--json")
+	must(t, err)
+	var a account
+	must(t, json.Unmarshal([]byte(out), &a))
+	return a
+}
+
+// executed returns the number of requests that the targets' logs hold as done.
+func executed(t *testing.T, s *Scene) int {
+	t.Helper()
+	ids := map[string]bool{}
+	for _, vm := range s.Fleet.VMs {
+		entries, err := readLog(s.Fleet.ExecutionLog(vm.Name))
+		must(t, err)
+		for _, e := range entries {
+			if e.Phase == execlog.End && e.Outcome == execlog.Done && e.Method == http.MethodPost {
+				ids[e.RequestID] = true
+			}
+		}
+	}
+	return len(ids)
+}
+
+// TestAccountAgrees demands that the account holds what callers saw and targets executed.
+func TestAccountAgrees(t *testing.T) {
+	s := scene(t, withQuickAccount)
+	s.Probe.Stop()
+	seen, done := s.Probe.Counts(), executed(t, s)
+	var answered, notRun, unknown int
+	err := fleet.Await(15*time.Second, func() bool {
+		answered, notRun, unknown = readAccount(t, s).totals()
+		return answered+notRun+unknown >= seen.Answered+seen.NotRun+seen.Unknown
+	})
+	if err != nil || answered != seen.Answered || notRun != seen.NotRun || unknown != seen.Unknown {
+		t.Errorf("account: answered %d, not run %d, unknown %d; callers saw %+v", answered, notRun, unknown, seen)
+	}
+	if answered > done || done > answered+unknown {
+		t.Errorf("answered %d, unknown %d; targets executed %d", answered, unknown, done)
+	}
+}
+
+// TestAccountOfALoss kills a VM under bookings: what is missing in the account is at most
+// what its node can have counted since its last report, and a gap says so.
+func TestAccountOfALoss(t *testing.T) {
+	s := scene(t, withQuickAccount)
+	vm := plain(t, s)
+	s.Fleet.KillVM(vm)
+	settle(t, s)
+	s.Probe.Stop()
+	done := executed(t, s)
+	var answered, unknown int
+	err := fleet.Await(20*time.Second, func() bool {
+		a := readAccount(t, s)
+		answered, _, unknown = a.totals()
+		return a.hasGap(vm)
+	})
+	if err != nil {
+		t.Errorf("no gap is marked for %s", vm)
+	}
+	// A node is sent a quarter of the probes. It may lose those of one report's interval, and
+	// of the half second and the call by which a report may be late.
+	const perSecond = keyCount * int(time.Second/probeEvery) / 4
+	missing := done - answered - unknown
+	t.Logf("targets executed %d; booked answered %d, unknown %d; missing %d", done, answered, unknown, missing)
+	if answered > done || missing > 3*perSecond {
+		t.Errorf("executed %d, answered %d, unknown %d: %d missing", done, answered, unknown, missing)
+	}
+}
+
+// longest is the longest piece of work of the kind "repair", whose mean is 6 s: the stand-in
+// spreads work between half and one and a half of its mean. While it runs, its slice drains.
+const longest = 9 * time.Second
+
+// TestPlannedStopUnderWork stops a VM as planned under bookings and one long piece of work.
+func TestPlannedStopUnderWork(t *testing.T) {
+	s := scene(t, func(o *Options) { o.TargetArgs = []string{"--work", "default=5ms,repair=6s"} })
+	vm := plain(t, s)
+	keys := s.Probe.KeysAt(vm)
+	if len(keys) == 0 {
+		t.Fatalf("%s serves no key", vm)
+	}
+	long := make(chan string, 1)
+	go func() { long <- s.longWork(vm, keys[0]) }()
+	time.Sleep(500 * time.Millisecond)
+	began := time.Now()
+	_, err := s.Fleet.Relay("stop", "plan", "vm", vm)
+	must(t, err)
+	err = fleet.Await(20*time.Second, func() bool {
+		out, err := s.Fleet.Relay("stop", "list")
+		return err == nil && strings.Contains(out, ": ready")
+	})
+	must(t, err)
+	ready := time.Now()
+	if got := <-long; got != "answered" {
+		t.Errorf("the long work under way ended as %q", got)
+	}
+	s.Fleet.KillVM(vm)
+	time.Sleep(2 * time.Second)
+	settle(t, s)
+	report(t, s, began, servedAgainIn+longest)
+	t.Logf("ready after %v", ready.Sub(began).Round(time.Millisecond))
+	if seen := s.Probe.Counts(); seen.Unknown > 0 {
+		t.Errorf("the stop left %d outcomes unknown", seen.Unknown)
+	}
+	checkStopped(t, s, vm, began.Add(3*time.Second))
+}
+
+// checkStopped demands that the VM's target began nothing after a time and cut nothing.
+func checkStopped(t *testing.T, s *Scene, vm string, after time.Time) {
+	t.Helper()
+	entries, err := readLog(s.Fleet.ExecutionLog(vm))
+	must(t, err)
+	for _, e := range entries {
+		if e.Phase == execlog.Start && e.Wall > after.UnixNano() {
+			t.Errorf("new work %v after the stop began plus 3 s: %+v", time.Unix(0, e.Wall).Sub(after), e)
+			return
+		}
+		if e.Phase == execlog.End && e.Outcome != execlog.Done {
+			t.Errorf("work did not end whole: %+v", e)
+		}
+	}
+}
+
+// longWork sends work that takes a while to a key through the VM and returns its outcome.
+func (s *Scene) longWork(vm, key string) string {
+	url := s.Fleet.EntryURL(vm) + "/v1/" + service + "/" + key + "/repair"
+	request, err := http.NewRequest(http.MethodPost, url, nil)
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Auburnrelay-Request-Id", ulid.Make().String())
+	request.Header.Set("Auburnrelay-Deadline-Ms", "30000")
+	resp, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err.Error()
+	}
+	return resp.Header.Get("Auburnrelay-Outcome")
+}
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -56,6 +56,8 @@
 	Unchecked bool
 	// Settings is TOML text added to each node's settings.
 	Settings string
+	// TargetArgs are further arguments of each target stand-in.
+	TargetArgs []string
 }
 
 // Open starts a fleet, applies a sheet and probes until every key is served.
@@ -84,6 +86,7 @@
 			FailureDomain: domain,
 			Slots:         6,
 			ChecksFences:  !o.Unchecked,
+			TargetArgs:    o.TargetArgs,
 		}
 	}
 	return list
