--- a/core/capacity/rows.go
+++ b/core/capacity/rows.go
@@ -81,11 +81,14 @@
 }
 
 func (t *table) addController(s Size) {
-	t.add("controller", "bytes of control", "B/s", nodeBytesBudget, []string{"controller_bytes_per_node"}, func(of func(string) float64) float64 {
-		return s.NodesPerCell * of("controller_bytes_per_node")
+	t.add("controller", "bytes of control", "B/s", nodeBytesBudget, []string{"controller_bytes_fixed", "controller_bytes_per_node"}, func(of func(string) float64) float64 {
+		return of("controller_bytes_fixed") + s.NodesPerCell*of("controller_bytes_per_node")
 	})
-	t.add("controller", "processor time", "% of a core", nodeCPUBudget, []string{"controller_cpu_percent_per_node"}, func(of func(string) float64) float64 {
-		return s.NodesPerCell * of("controller_cpu_percent_per_node")
+	t.add("node", "control, mean of a cell at rest", "% of a core", nodeCPUBudget, []string{"cell_cpu_percent_per_node"}, func(of func(string) float64) float64 {
+		return of("cell_cpu_percent_per_node")
+	})
+	t.add("controller", "control at rest", "% of a core", nodeCPUBudget, []string{"controller_cpu_percent"}, func(of func(string) float64) float64 {
+		return of("controller_cpu_percent")
 	})
 	t.add("controller", "memory", "MB", nodeMemoryBudget, []string{"controller_memory_mb"}, func(of func(string) float64) float64 {
 		return of("controller_memory_mb")
@@ -93,6 +96,11 @@
 	t.add("controller", "account reports received", "B/s", 0, []string{"report_bytes_fixed", "report_bytes_per_line"}, func(of func(string) float64) float64 {
 		return s.NodesPerCell * (of("report_bytes_fixed") + s.LinesPerNode*of("report_bytes_per_line")) / s.ReportSeconds
 	})
+	both := []string{"controller_bytes_fixed", "controller_bytes_per_node", "report_bytes_fixed", "report_bytes_per_line"}
+	t.add("controller", "bytes of control and reports", "B/s", nodeBytesBudget, both, func(of func(string) float64) float64 {
+		reports := (of("report_bytes_fixed") + s.LinesPerNode*of("report_bytes_per_line")) / s.ReportSeconds
+		return of("controller_bytes_fixed") + s.NodesPerCell*(of("controller_bytes_per_node")+reports)
+	})
 	names := []string{"segment_bytes_fixed", "segment_bytes_per_line", "segment_bytes_per_process"}
 	t.add("controller", "one segment of the account", "kB", 1000, names, func(of func(string) float64) float64 {
 		lines := s.LinesPerNode * s.NodesPerCell
