Do not suspect a target that answers calls, whatever its probes say

Probes lag and lie; what the node measured itself goes first. With the guard removed TestProbesAloneDoNotCondemn goes red. go test -race -count=3 ./target (node): green.

--- a/node/target/call.go
+++ b/node/target/call.go
@@ -94,6 +94,7 @@
 		return l.endWithoutAnswer(ctx, call, info, proof)
 	}
 	defer response.Body.Close()
+	l.answeredAt.Store(int64(l.cfg.Clock()))
 	ending := l.takeAnswer(ctx, call, info, response, sink)
 	ending.Incarnation = info.Incarnation
 	return ending
--- a/node/target/link.go
+++ b/node/target/link.go
@@ -116,7 +116,9 @@
 	control   *http.Transport
 	inFlight  atomic.Int64
 	openConns atomic.Int64
-	stopping  atomic.Bool
+	// answeredAt is when the target last answered a call, on the boot-time clock in nanoseconds.
+	answeredAt atomic.Int64
+	stopping   atomic.Bool
 	// kick asks for a probe at once.
 	kick chan struct{}
 
--- a/node/target/probe.go
+++ b/node/target/probe.go
@@ -114,8 +114,13 @@
 	})
 }
 
-// takeSilence counts a probe that was not answered.
+// takeSilence counts a probe that was not answered. A target that answers calls is not suspected,
+// whatever becomes of its probes.
 func (l *Link) takeSilence(incarnation uint64) {
+	sinceAnswer := l.cfg.Clock() - time.Duration(l.answeredAt.Load())
+	if l.answeredAt.Load() != 0 && sinceAnswer < l.cfg.ProbeTimeout {
+		return
+	}
 	l.update("probes fail", func(info *Info) []Event {
 		if info.Incarnation != incarnation {
 			return nil
--- a/node/target/target_test.go
+++ b/node/target/target_test.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// reachState waits until the link knows the target to be in the state.
+func reachState(t *testing.T, link *Link, want plane.TargetState) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); link.Info().State != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("state %s, want %s", stateName(link.Info().State), stateName(want))
+		}
+	}
+}
+
 // TestStates leads a target through its states and checks what the node learns.
 func TestStates(t *testing.T) {
 	var health atomic.Value
@@ -174,14 +184,7 @@
 	defer wait.Wait()
 	defer cancel()
 	announce(link, announcement(1, address(server)))
-	reach := func(want plane.TargetState) {
-		t.Helper()
-		for deadline := time.Now().Add(10 * time.Second); link.Info().State != want; time.Sleep(time.Millisecond) {
-			if time.Now().After(deadline) {
-				t.Fatalf("state %s, want %s", stateName(link.Info().State), stateName(want))
-			}
-		}
-	}
+	reach := func(want plane.TargetState) { t.Helper(); reachState(t, link, want) }
 	reach(plane.TargetStarting)
 	health.Store(Health{Incarnation: 1, State: "ready"})
 	reach(plane.TargetReady)
@@ -207,6 +210,43 @@
 	}
 }
 
+// TestProbesAloneDoNotCondemn lets probes go unanswered while calls are answered: the target
+// stays ready, and is suspected once the calls end.
+func TestProbesAloneDoNotCondemn(t *testing.T) {
+	var silent atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/health" {
+			return
+		}
+		if silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		_ = json.NewEncoder(w).Encode(Health{Incarnation: 1, State: "ready"})
+	}))
+	defer server.Close()
+	link := newLink(t)
+	link.cfg.ProbeTimeout = 300 * time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = link.Run(ctx) })
+	defer wait.Wait()
+	defer cancel()
+	announce(link, announcement(1, address(server)))
+	reach := func(want plane.TargetState) { t.Helper(); reachState(t, link, want) }
+	reach(plane.TargetReady)
+	link.Call(ctx, callOf(http.MethodGet), &discard{})
+	silent.Store(true)
+	probesLong := link.cfg.ProbeTimeout * time.Duration(2*link.cfg.SuspectAfter)
+	for end := time.Now().Add(probesLong); time.Now().Before(end); {
+		link.Call(ctx, callOf(http.MethodGet), &discard{})
+		if state := link.Info().State; state != plane.TargetReady {
+			t.Fatalf("state %s while calls are answered", stateName(state))
+		}
+	}
+	reach(plane.TargetSuspect)
+}
+
 // TestWhatTheTargetSees checks paths and header fields in both directions.
 func TestWhatTheTargetSees(t *testing.T) {
 	var path string
