--- a/core/cell/standby.go
+++ b/core/cell/standby.go
@@ -108,7 +108,9 @@
 		return ""
 	case m.isStandby() && m.now > m.standby.until:
 		return "the promise to the controller has lapsed"
-	case m.rec.Standby.IsZero() && m.silent() && m.soloLapsed():
+	case !m.silent() || m.confirmed <= m.holder.heard:
+		return "" // the controller answers, or the record may have changed unseen
+	case m.rec.Standby.IsZero() && m.soloLapsed():
 		return "the controller without a standby has stopped renewing the record"
 	case m.bothLost():
 		return "controller and standby are lost"
@@ -127,19 +129,20 @@
 }
 
 // bothLost reports whether no authority can be left: the controller's process has ended, or
-// the standby's has and the last promise that it can have given has lapsed since. A write
-// that named another standby meanwhile has moved the version, so that a takeover on the
-// version known here fails.
+// the standby's has, and since then and since the version was first seen the time of a
+// promise has passed: the controller's authority came from the standby's last promise or
+// from the write that named it. A later write has moved the version, so that a takeover on
+// the version known here fails.
 func (m *Machine) bothLost() bool {
 	grace := m.timing.wait(m.timing.Promise)
-	if m.rec.Standby.IsZero() || m.isStandby() || !m.silent() {
+	if m.rec.Standby.IsZero() || m.isStandby() {
 		return false
 	}
 	at, ok := m.gone[m.rec.Standby]
 	if since, gone := m.gone[m.rec.Controller]; gone && (ok || m.now-since > grace) {
 		return true // without its process no authority is left; a living standby goes first
 	}
-	return ok && (m.now-at > grace || m.guards.noGonePromise)
+	return ok && (m.now-max(at, m.versionSeen) > grace || m.guards.noGonePromise)
 }
 
 // takeOver writes this node into the record as the controller of a new epoch.
