--- /dev/null
+++ b/standin/faults/sheet_test.go
@@ -0,0 +1,173 @@
+package faults
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/store"
+)
+
+const (
+	// inForceIn is the users' bound on the time until an accepted sheet is in force on all
+	// nodes.
+	inForceIn = 9 * time.Second
+	lookEvery = 50 * time.Millisecond
+)
+
+// sheetWatch looks at the sheet's version on every node and notes when one goes back.
+type sheetWatch struct {
+	t    *testing.T
+	s    *Scene
+	done chan struct{}
+	work sync.WaitGroup
+
+	mu       sync.Mutex
+	versions map[string]int64
+}
+
+func watchSheets(t *testing.T, s *Scene) *sheetWatch {
+	w := &sheetWatch{t: t, s: s, done: make(chan struct{}), versions: map[string]int64{}}
+	for _, vm := range s.Fleet.VMs {
+		w.work.Go(func() { w.follow(vm.Name) })
+	}
+	t.Cleanup(w.stop)
+	return w
+}
+
+func (w *sheetWatch) stop() {
+	close(w.done)
+	w.work.Wait()
+}
+
+func (w *sheetWatch) follow(vm string) {
+	client := http.Client{Timeout: adminTimeout}
+	for {
+		w.look(&client, vm)
+		select {
+		case <-time.After(lookEvery):
+		case <-w.done:
+			return
+		}
+	}
+}
+
+func (w *sheetWatch) look(client *http.Client, vm string) {
+	resp, err := client.Get(w.s.Fleet.AdminURL(vm) + "/status")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var status struct {
+		Version int64 `json:"sheet_version"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&status) != nil || status.Version == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if status.Version < w.versions[vm] {
+		w.t.Errorf("%s went back from sheet %d to %d", vm, w.versions[vm], status.Version)
+	}
+	w.versions[vm] = status.Version
+}
+
+// inForce waits until the nodes named work by the version.
+func (w *sheetWatch) inForce(version int64, limit time.Duration, vms []string) error {
+	return fleet.Await(limit, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, vm := range vms {
+			if w.versions[vm] != version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// applySheet applies a sheet that differs from the former ones and returns its version.
+func applySheet(t *testing.T, s *Scene, name string) int64 {
+	t.Helper()
+	path := filepath.Join(s.Fleet.Dir, name+".csv")
+	text := sheet + name + ",keyed,,,alfold,,,4\n"
+	must(t, os.WriteFile(path, []byte(text), 0o600))
+	out, err := s.Fleet.Relay("sheet", "apply", path)
+	must(t, err)
+	_, rest, _ := strings.Cut(out, "accepted as version ")
+	version, err := strconv.ParseInt(strings.SplitN(rest, ";", 2)[0], 10, 64)
+	must(t, err)
+	return version
+}
+
+func others(s *Scene, lost string) []string {
+	var names []string
+	for _, vm := range s.Fleet.VMs {
+		if vm.Name != lost {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
+// TestSheetInForce accepts a sheet and plays a fault at once. The sheet is in force in time
+// on every living node, counted from the end of a store outage, and none goes back.
+func TestSheetInForce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		hit   role
+		fault func(t *testing.T, s *Scene, vm string)
+		// last is how long the fault lasts before heal.
+		last time.Duration
+		heal func(t *testing.T, s *Scene, vm string)
+		// lost tells that the node hit does not come back.
+		lost bool
+	}{
+		{name: "no fault", hit: plain, fault: func(*testing.T, *Scene, string) {}},
+		{name: "controller killed", hit: controller, fault: killVM, lost: true},
+		{name: "controller paused", hit: controller, fault: pauseNode, last: 5 * time.Second, heal: resumeNode},
+		{name: "late node", hit: plain, fault: killNode, last: 2 * time.Second,
+			heal: func(t *testing.T, s *Scene, vm string) { must(t, s.Fleet.StartNode(vm)) }},
+		{name: "store down", hit: plain, last: 8 * time.Second, heal: healStore,
+			fault: func(t *testing.T, s *Scene, _ string) { must(t, s.StoreFaults(store.FaultsMessage{Down: true})) }},
+		{name: "watch broken", hit: plain, last: 3 * time.Second, heal: healStore,
+			fault: func(t *testing.T, s *Scene, _ string) {
+				must(t, s.StoreFaults(store.FaultsMessage{WatchBroken: true}))
+			}},
+		{name: "stale watch, then controller killed", hit: controller, last: 5 * time.Second, heal: healStore, lost: true,
+			fault: func(t *testing.T, s *Scene, vm string) {
+				must(t, s.StoreFaults(store.FaultsMessage{StaleWatch: true}))
+				killVM(t, s, vm)
+			}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := scene(t, nil)
+			w := watchSheets(t, s)
+			vm := c.hit(t, s)
+			version := applySheet(t, s, "tools")
+			c.fault(t, s, vm)
+			time.Sleep(c.last)
+			if c.heal != nil {
+				c.heal(t, s, vm)
+			}
+			began := time.Now()
+			expected := others(s, "")
+			if c.lost {
+				expected = others(s, vm)
+			}
+			if err := w.inForce(version, inForceIn, expected); err != nil {
+				t.Errorf("sheet %d is not in force everywhere: %v", version, w.versions)
+			}
+			t.Logf("in force everywhere %v after acceptance or the end of the fault", time.Since(began).Round(time.Millisecond))
+			settle(t, s)
+			must(t, s.CheckLogs())
+		})
+	}
+}
