--- a/core/cell/abandon.go
+++ b/core/cell/abandon.go
@@ -1,6 +1,9 @@
 package cell
 
-import "github.com/auburnrelay/auburnrelay/core/keyspace"
+import (
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+)
 
 // abandonTick asks the request side to give up what the node holds for a suspect target that
 // checks fences. It may do so once every grant that the target was ever sent has lapsed, as
@@ -41,3 +44,20 @@
 	m.emit(TableChanged{})
 	m.heartbeatTick()
 }
+
+// giveBack releases a slice under the highest of f and the fences that it is held or granted
+// under.
+func (m *Machine) giveBack(id keyspace.SliceID, f fence.Fence, window []byte) {
+	h := &m.holder
+	if l := h.held[id]; l != nil && f.Less(l.fence) {
+		f = l.fence
+	}
+	if g, ok := h.set[id]; ok && f.Less(g.Fence) {
+		f = g.Fence
+	}
+	h.refused[id] = f
+	h.released[id] = Release{Slice: id, Fence: f, Window: window}
+	delete(h.held, id)
+	delete(h.set, id)
+	h.beatSoon = true
+}
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -66,6 +66,8 @@
 	Cuts bool
 	// Settings is TOML text added to each node's settings.
 	Settings string
+	// TargetArgs are further arguments of each target stand-in.
+	TargetArgs []string
 }
 
 // Open starts a fleet, applies a sheet and probes until every key is served.
@@ -103,6 +105,7 @@
 			FailureDomain: domain,
 			Slots:         6,
 			ChecksFences:  !o.Unchecked,
+			TargetArgs:    o.TargetArgs,
 		}
 	}
 	return list
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -11,10 +11,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +33,8 @@
 	inForceLimit = 20 * time.Second
 	readyLimit   = 30 * time.Second
 	readyCalls   = 20
+	// joinTime is the time for nodes and targets to be known before the sheet is applied.
+	joinTime = 4 * time.Second
 	// settle is the time for placement after the start of a fleet.
 	settle = 10 * time.Second
 )
@@ -120,12 +122,20 @@
 			addBaseline(figures, baseline)
 		}
 		for _, f := range figures {
-			_, _ = fmt.Fprintf(o.Out, "measure %s.%s\n", p.Name, f)
+			f.name = p.Name + "." + f.name
+			if err := o.print(f); err != nil {
+				return ran, err
+			}
 		}
 	}
 	return ran, nil
 }
 
+func (o Options) print(f figure) error {
+	_, err := fmt.Fprintf(o.Out, "measure %s\n", f)
+	return errors.Wrap(err, "print")
+}
+
 const baselineSettings = "[load]\ndiscipline = \"first-come\"\n"
 
 func runOn(ctx context.Context, o Options, p Profile, s scenario, settings string) ([]figure, error) {
@@ -175,10 +185,17 @@
 		return err
 	}
 	time.Sleep(b.scaled(settle))
-	return fleet.Await(readyLimit, b.serves)
+	var reasons map[string]int64
+	err := fleet.Await(readyLimit, func() bool {
+		reasons = b.refusals()
+		return len(reasons) == 0
+	})
+	return errors.Wrapf(err, "refusals %v", reasons)
 }
 
+// applySheet waits until the nodes know one another and applies the sheet.
 func (b *bench) applySheet(text string) error {
+	time.Sleep(joinTime)
 	path := filepath.Join(b.fleet.Dir, "sheet.csv")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write sheet")
@@ -190,19 +207,14 @@
 	return err
 }
 
-// serves tells whether a few requests of each kind are all answered.
-func (b *bench) serves() bool {
+// refusals sends a few requests of each kind and returns why some were not answered.
+func (b *bench) refusals() map[string]int64 {
 	result, err := b.load(b.plan(load.Phase{Name: "ready", Duration: load.Duration(time.Second), Rate: readyCalls},
 		b.short(keyed, 1), b.short(shared, 1)))
 	if err != nil {
-		return false
-	}
-	for _, tally := range result.Phases[0].Kinds {
-		if tally.Outcomes[load.Answered] != tally.Sent {
-			return false
-		}
+		return map[string]int64{err.Error(): 1}
 	}
-	return true
+	return result.Phases[0].Reasons
 }
 
 // scaled shortens a duration in the short form.
@@ -217,10 +229,15 @@
 	return load.Phase{Name: name, Duration: load.Duration(b.scaled(d)), Rate: rate}
 }
 
-// short is the kind of short work of a service, with its share of the requests.
+// short is the kind of short work of a service, with its share of the requests: bookings of
+// the keyed service and lookups of the shared one.
 func (b *bench) short(service string, share float64) load.Kind {
+	method := http.MethodPost
+	if service == shared {
+		method = http.MethodGet
+	}
 	return load.Kind{
-		Name: service, Service: service, Method: "POST", Share: share, Deadline: load.Duration(b.profile.Deadline),
+		Name: service, Service: service, Method: method, Share: share, Deadline: load.Duration(b.profile.Deadline),
 	}
 }
 
@@ -254,36 +271,3 @@
 	}
 	return result, err
 }
-
-// figure is one measured value.
-type figure struct {
-	name     string
-	value    float64
-	unit     string
-	baseline string
-	target   string
-	// note tells how the value came about.
-	note string
-}
-
-// String returns the figure as it is printed.
-func (f figure) String() string {
-	baseline := f.baseline
-	if baseline == "" {
-		baseline = "none"
-	}
-	line := fmt.Sprintf("%s %s %s baseline=%s target=%s", f.name, format(f.value), f.unit, baseline, f.target)
-	return strings.TrimRight(line+" "+f.note, " ")
-}
-
-func format(v float64) string { return fmt.Sprintf("%.3g", v) }
-
-func addBaseline(figures, baseline []figure) {
-	for i := range figures {
-		for _, other := range baseline {
-			if other.name == figures[i].name {
-				figures[i].baseline = format(other.value)
-			}
-		}
-	}
-}
