--- a/standin/faults/operators_test.go
+++ b/standin/faults/operators_test.go
@@ -104,7 +104,7 @@
 // what its node can have counted since its last report, and a gap says so.
 func TestAccountOfALoss(t *testing.T) {
 	s := scene(t, withQuickAccount)
-	vm := plain(t, s)
+	vm := plain(t, s)[0]
 	s.Fleet.KillVM(vm)
 	settle(t, s)
 	s.Probe.Stop()
@@ -135,7 +135,7 @@
 // TestPlannedStopUnderWork stops a VM as planned under bookings and one long piece of work.
 func TestPlannedStopUnderWork(t *testing.T) {
 	s := scene(t, func(o *Options) { o.TargetArgs = []string{"--work", "default=5ms,repair=6s"} })
-	vm := plain(t, s)
+	vm := plain(t, s)[0]
 	keys := s.Probe.KeysAt(vm)
 	if len(keys) == 0 {
 		t.Fatalf("%s serves no key", vm)
@@ -158,7 +158,7 @@
 	s.Fleet.KillVM(vm)
 	time.Sleep(2 * time.Second)
 	settle(t, s)
-	report(t, s, began, servedAgainIn+longest)
+	report(t, s, began, servedAgainIn+longest, nil)
 	t.Logf("ready after %v", ready.Sub(began).Round(time.Millisecond))
 	if seen := s.Probe.Counts(); seen.Unknown > 0 {
 		t.Errorf("the stop left %d outcomes unknown", seen.Unknown)
--- a/standin/faults/sheet_test.go
+++ b/standin/faults/sheet_test.go
@@ -123,44 +123,39 @@
 	for _, c := range []struct {
 		name  string
 		hit   role
-		fault func(t *testing.T, s *Scene, vm string)
+		fault action
 		// last is how long the fault lasts before heal.
 		last time.Duration
-		heal func(t *testing.T, s *Scene, vm string)
+		heal action
 		// lost tells that the node hit does not come back.
 		lost bool
 	}{
-		{name: "no fault", hit: plain, fault: func(*testing.T, *Scene, string) {}},
+		{name: "no fault", hit: plain, fault: wait(0)},
 		{name: "controller killed", hit: controller, fault: killVM, lost: true},
 		{name: "controller paused", hit: controller, fault: pauseNode, last: 5 * time.Second, heal: resumeNode},
 		{name: "late node", hit: plain, fault: killNode, last: 2 * time.Second,
-			heal: func(t *testing.T, s *Scene, vm string) { must(t, s.Fleet.StartNode(vm)) }},
+			heal: startNode},
 		{name: "store down", hit: plain, last: 8 * time.Second, heal: healStore,
-			fault: func(t *testing.T, s *Scene, _ string) { must(t, s.StoreFaults(store.FaultsMessage{Down: true})) }},
+			fault: storeIs(store.FaultsMessage{Down: true})},
 		{name: "watch broken", hit: plain, last: 3 * time.Second, heal: healStore,
-			fault: func(t *testing.T, s *Scene, _ string) {
-				must(t, s.StoreFaults(store.FaultsMessage{WatchBroken: true}))
-			}},
+			fault: storeIs(store.FaultsMessage{WatchBroken: true})},
 		{name: "stale watch, then controller killed", hit: controller, last: 5 * time.Second, heal: healStore, lost: true,
-			fault: func(t *testing.T, s *Scene, vm string) {
-				must(t, s.StoreFaults(store.FaultsMessage{StaleWatch: true}))
-				killVM(t, s, vm)
-			}},
+			fault: both(storeIs(store.FaultsMessage{StaleWatch: true}), killVM)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := scene(t, nil)
 			w := watchSheets(t, s)
-			vm := c.hit(t, s)
+			vms := c.hit(t, s)
 			version := applySheet(t, s, "tools")
-			c.fault(t, s, vm)
+			c.fault(t, s, vms)
 			time.Sleep(c.last)
 			if c.heal != nil {
-				c.heal(t, s, vm)
+				c.heal(t, s, vms)
 			}
 			began := time.Now()
 			expected := others(s, "")
 			if c.lost {
-				expected = others(s, vm)
+				expected = others(s, vms[0])
 			}
 			if err := w.inForce(version, inForceIn, expected); err != nil {
 				t.Errorf("sheet %d is not in force everywhere: %v", version, w.versions)
