Begin probes once the keys have spread; map the process-level proofs

Scenes whose victim served no probed key proved nothing (0 keys hit in 5 of about 30 runs): with probes running from the start the idle slices were the ones that filled the other nodes. Probes now begin when every VM owns half of its even share.

--- a/Makefile
+++ b/Makefile
@@ -74,3 +74,8 @@
 FIRST ?= 1
 walk:
 	@cd core && WALK_SEEDS=$(SEEDS) WALK_FIRST=$(FIRST) go test ./cell -run 'TestWalk$$' -timeout 0 -v
+
+# Plays SEEDS random schedules of two faults on real processes, from seed FIRST on, and prints
+# the seed of a failure.
+faults:
+	@cd standin && FAULT_SEEDS=$(SEEDS) FAULT_SEED=$(FIRST) go test ./faults -run 'TestTwoFaults$$' -timeout 0 -v
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -119,6 +119,10 @@
 	if _, err := s.Fleet.Relay("sheet", "apply", path); err != nil {
 		return err
 	}
+	// Probes begin once every VM owns its share, as idle slices move first.
+	if err := s.spread(); err != nil {
+		return err
+	}
 	for i := range keyCount {
 		s.keys = append(s.keys, fmt.Sprintf("bay-%02d", i))
 	}
@@ -129,9 +133,6 @@
 	s.Probe = probe.Start(probe.Config{
 		Entries: entries, Service: service, Keys: s.keys, Every: probeEvery, Deadline: probeWait,
 	})
-	if err := s.spread(); err != nil {
-		return err
-	}
 	return s.Settled()
 }
 
