Mark a process that was lost before a segment listed it as a gap

The collector now lists every process that the cell's record names; one that stays silent becomes a gap.

--- a/core/account/collector.go
+++ b/core/account/collector.go
@@ -27,7 +27,7 @@
 }
 
 // joinDelay is how long a process may be unknown to the stored account. What a process
-// counted is marked as a gap only if the account knew the process.
+// counted is marked as a gap only if the account or the cell's record knew the process.
 const joinDelay = 5 * time.Second
 
 // Batch is one message of a node to its cell's collector.
@@ -126,6 +126,15 @@
 	return Ack{Accepted: m.accepted, Booked: m.open.Last}
 }
 
+// Expect lists a process that the cell's record names, so that one which was lost before any
+// segment listed it is marked as a gap.
+func (c *Collector) Expect(p Process, now time.Time) {
+	if _, known := c.members[p]; known {
+		return
+	}
+	c.members[p] = &member{open: Open{Process: p, Until: now, Seen: now}}
+}
+
 // dropForgotten removes the reports of an unknown process that may have been booked before
 // the account forgot the process.
 func (b *Batch) dropForgotten(now time.Time) {
--- a/core/cell/view.go
+++ b/core/cell/view.go
@@ -44,7 +44,9 @@
 	Held    int
 	Moving  int
 	Members []MemberStatus
-	Table   TableVersion
+	// Recorded are the processes that the record names.
+	Recorded []Node
+	Table    TableVersion
 }
 
 // Status returns the machine's state.
@@ -54,6 +56,11 @@
 	if m.rec != nil && m.rec.Epoch == m.epoch {
 		s.Standby = m.rec.Standby
 	}
+	if m.rec != nil {
+		for _, n := range m.rec.Nodes {
+			s.Recorded = append(s.Recorded, n.Node)
+		}
+	}
 	if m.sheet != nil {
 		s.SheetVersion = m.sheet.Version
 	}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -62,6 +62,7 @@
 	statusMu sync.Mutex
 	status   Status
 	leader   plane.Peer
+	recorded []cell.Node
 
 	stopsMu sync.Mutex
 	// stops are the planned stops, nil before they were first read.
--- a/node/control/status.go
+++ b/node/control/status.go
@@ -62,6 +62,14 @@
 	return c.leader
 }
 
+// Recorded returns the processes that the cell's record names, lost ones among them until the
+// record is rid of them.
+func (c *Control) Recorded() []cell.Node {
+	c.statusMu.Lock()
+	defer c.statusMu.Unlock()
+	return c.recorded
+}
+
 func (c *Control) publishStatus() {
 	m := c.machine.Status()
 	s := Status{
@@ -82,6 +90,7 @@
 	c.statusMu.Lock()
 	c.status = s
 	c.leader = peerOf(m.Leader, c.cfg.Cell)
+	c.recorded = m.Recorded
 	c.statusMu.Unlock()
 }
 
--- a/node/ledger/collect.go
+++ b/node/ledger/collect.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/auburnrelay/auburnrelay/core/account"
+	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/platform"
 	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
 )
@@ -87,7 +88,7 @@
 		l.log.Warn("the cell's last segment is not known", "cell", l.config.Self.Cell, "reason", err.Error())
 		return
 	}
-	sealed, due, err := c.next(l.config.Now())
+	sealed, due, err := c.next(l.directory.Recorded(), l.config.Now())
 	if err != nil {
 		l.log.Error("segment not built", "reason", err.Error())
 		return
@@ -103,9 +104,12 @@
 	c.collector = collector
 }
 
-func (c *collecting) next(now time.Time) (account.Sealed, bool, error) {
+func (c *collecting) next(recorded []cell.Node, now time.Time) (account.Sealed, bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, n := range recorded {
+		c.collector.Expect(account.Process{Node: n.Name, Incarnation: n.Incarnation}, now)
+	}
 	return c.collector.Next(now)
 }
 
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/auburnrelay/auburnrelay/core/account"
+	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/platform"
@@ -45,6 +46,8 @@
 type Directory interface {
 	// Controller returns the controller; its name is empty when it is not known.
 	Controller() plane.Peer
+	// Recorded returns the processes that the cell's record names.
+	Recorded() []cell.Node
 }
 
 // Connections holds the connections to other nodes.
--- a/node/ledger/ledger_test.go
+++ b/node/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/auburnrelay/auburnrelay/core/account"
+	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/forward"
@@ -35,6 +36,9 @@
 	return b.controller
 }
 
+// Recorded names no process: the nodes of a bench are known by their reports.
+func (b *bench) Recorded() []cell.Node { return nil }
+
 func (b *bench) clock() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
