Count a candidate's wait up to its last read; take over at once after a restart

The wait now ends at a read that shows the version unchanged. The only node of a cell takes over at once after a restart, as its former process has ended.

--- a/core/cell/standby.go
+++ b/core/cell/standby.go
@@ -108,6 +108,8 @@
 		return ""
 	case m.isStandby() && m.now > m.standby.until:
 		return "the promise to the controller has lapsed"
+	case m.rec.Standby.IsZero() && m.rec.Controller.Name == m.self.Name:
+		return "the controller was this VM's former process"
 	case !m.silent() || m.confirmed <= m.holder.heard:
 		return "" // the controller answers, or the record may have changed unseen
 	case m.rec.Standby.IsZero() && m.soloLapsed():
@@ -125,7 +127,7 @@
 	if m.guards.soloNoSilence {
 		return true
 	}
-	return m.now-m.versionSeen > m.timing.wait(m.timing.Promise)
+	return m.confirmed-m.versionSeen > m.timing.wait(m.timing.Promise)
 }
 
 // bothLost reports whether no authority can be left: the controller's process has ended, or
