Deal slices out after the nodes of a start have joined; fill without a pause

Spreading once a second left a killed VM of the demo without any slice (owner of 0 of 60 keys); the first node of a cell took all and gave them away by an eighth a second. Slices without an owner now wait for half a second without a join, and a node that is being filled is looked at ten times a second. Targets of scripts run requests for 20 s: guard/non-checking had become blind when its request ended before the move.

--- a/core/cell/moves.go
+++ b/core/cell/moves.go
@@ -58,7 +58,11 @@
 // planMoves starts the planned moves that the present state asks for.
 func (m *Machine) planMoves() {
 	c := m.ctl
-	spread := m.now-c.plans.joinedAt >= settleTime && m.now-c.plans.spreadAt >= spreadInterval
+	interval := spreadInterval
+	if len(c.plans.filling) > 0 {
+		interval = planInterval
+	}
+	spread := m.now-c.plans.joinedAt >= settleTime && m.now-c.plans.spreadAt >= interval
 	if !spread && !m.anyLeaves() {
 		return
 	}
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -16,6 +16,8 @@
 	forgetAfter = 10 * time.Second
 	// settleTime is how long members must stay the same before planned moves start.
 	settleTime = 500 * time.Millisecond
+	// settleMax bounds the wait for more members after an epoch began.
+	settleMax = 2 * time.Second
 	// probeInterval is the time between two probes of a lost node's target.
 	probeInterval = 500 * time.Millisecond
 )
@@ -120,7 +122,7 @@
 func (m *Machine) ownerLost(id keyspace.SliceID, r route) (bool, string) {
 	c := m.ctl
 	if r.owner == "" {
-		return true, "nobody owns it"
+		return m.settled(), "nobody owns it"
 	}
 	if g, ok := c.granted[id]; ok && g.until > m.now && !m.guards.noLapseWait {
 		return false, ""
@@ -147,6 +149,13 @@
 	return true, reason
 }
 
+// settled reports whether the nodes that start together have had time to join, so that
+// slices without an owner are dealt out among all of them.
+func (m *Machine) settled() bool {
+	c := m.ctl
+	return m.now-c.plans.joinedAt >= settleTime || m.now-c.since >= settleMax
+}
+
 // targetSafe reports whether no request can still run on the lost owner's target outside a
 // fence: the target checks fences, or its process is known to have ended.
 func (m *Machine) targetSafe(owner string) bool {
--- a/core/cell/script_test.go
+++ b/core/cell/script_test.go
@@ -211,7 +211,7 @@
 			continue
 		}
 		checks = false
-		s.w.chaos.runFor = 5 * time.Second
+		s.w.chaos.runFor = 20 * time.Second
 	}
 	s.w.addNode(p[0], p[1], cellName, 1, checks)
 	return cellName
