Mark the former process of a node that the record named before it reported

Cause: a process that the record named was known already when its first message came, so the node's former process was not ended by it and became a gap only by its silence, minutes later. TestExpectedProcessEndsTheFormer failed first (no gap).

--- a/core/account/collector.go
+++ b/core/account/collector.go
@@ -62,6 +62,8 @@
 	pending  []*portion
 	// stored tells that a segment in the store lists the process.
 	stored bool
+	// expected tells that the process was named by the record and has sent nothing yet.
+	expected bool
 }
 
 // Collector books the reports of one cell. It decides only: its owner writes the segments
@@ -113,10 +115,13 @@
 	m, known := c.members[b.Process]
 	if !known {
 		b.dropForgotten(now)
-		c.endFormer(b.Node, now)
 		m = &member{open: Open{Process: b.Process, Until: now}}
 		c.members[b.Process] = m
 	}
+	if !known || m.expected {
+		c.endFormer(b.Process, now)
+		m.expected = false
+	}
 	m.open.Seen = now
 	m.open.Silent = false
 	c.markMissing(m, b)
@@ -132,7 +137,7 @@
 	if _, known := c.members[p]; known {
 		return
 	}
-	c.members[p] = &member{open: Open{Process: p, Until: now, Seen: now}}
+	c.members[p] = &member{open: Open{Process: p, Until: now, Seen: now}, expected: true}
 }
 
 // dropForgotten removes the reports of an unknown process that may have been booked before
@@ -145,9 +150,9 @@
 }
 
 // endFormer marks a gap for the former processes of a node that runs again.
-func (c *Collector) endFormer(node string, now time.Time) {
+func (c *Collector) endFormer(process Process, now time.Time) {
 	for _, m := range c.sortedMembers() {
-		if m.open.Node != node || m.open.Closed || m.isFinal() {
+		if m.open.Node != process.Node || m.open.Process == process || m.open.Closed || m.isFinal() {
 			continue
 		}
 		if !m.open.Silent {
--- a/core/account/expect_test.go
+++ b/core/account/expect_test.go
@@ -32,3 +32,21 @@
 		t.Errorf("gaps %+v, want one of the lost process", gaps)
 	}
 }
+
+// TestExpectedProcessEndsTheFormer demands that the first message of a process that the
+// record named marks a gap for the node's former process, and none for itself.
+func TestExpectedProcessEndsTheFormer(t *testing.T) {
+	now := time.Date(2026, 11, 3, 6, 0, 0, 0, time.UTC)
+	c := NewCollector(Config{Cell: "c", Interval: time.Minute, Silence: 5 * time.Minute}, nil, now)
+	former, next := Process{"vm-1", 1}, Process{"vm-1", 2}
+	c.Offer(Batch{Process: former, Oldest: 1}, now)
+	c.Expect(next, now)
+	c.Offer(Batch{Process: next, Oldest: 1}, now)
+	sealed, due, err := c.Next(now.Add(time.Minute))
+	if err != nil || !due {
+		t.Fatal(due, err)
+	}
+	if len(sealed.Gaps) != 1 || sealed.Gaps[0].Process != former || sealed.Gaps[0].Reason != GapRestarted {
+		t.Errorf("got %+v", sealed.Gaps)
+	}
+}
