--- /dev/null
+++ b/standin/faults/cut_test.go
@@ -0,0 +1,72 @@
+package faults
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/link"
+)
+
+// TestCutOffFailureDomain cuts one of two failure domains off from the other and from the
+// store, which stands in a third. The other half must serve every key again in time, and
+// the half cut off nothing after its leases have lapsed; then the cut heals.
+func TestCutOffFailureDomain(t *testing.T) {
+	apart := func(o *Options) {
+		o.Network = &fleet.Network{
+			StorePlace:  link.Place{Region: Cell, FailureDomain: "store"},
+			DomainDelay: time.Millisecond,
+			RegionDelay: link.DefaultRegionDelay,
+			RegionMbits: link.DefaultRegionMbits,
+		}
+	}
+	for _, c := range []struct {
+		name string
+		hit  role
+	}{{"of the controller", controller}, {"of the standby", standby}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := scene(t, apart)
+			domain := domainOf(s, c.hit(t, s))
+			t.Logf("controller %s, standby %s, cut off %s", controller(t, s), standby(t, s), domain)
+			began := time.Now()
+			must(t, s.Fleet.Cut(domain, ""))
+			time.Sleep(2 * servedAgainIn)
+			healed := time.Now()
+			must(t, s.Fleet.Heal("", ""))
+			settle(t, s)
+			report(t, s, began, servedAgainIn)
+			if n := executionsIn(t, s, domain, began.Add(servedAgainIn), healed); n > 0 {
+				t.Errorf("%d executions in the half cut off after its leases had lapsed", n)
+			}
+		})
+	}
+}
+
+// executionsIn counts what the targets of a failure domain started between two times.
+func executionsIn(t *testing.T, s *Scene, domain string, from, to time.Time) int {
+	t.Helper()
+	n := 0
+	for _, vm := range s.Fleet.VMs {
+		if vm.FailureDomain != domain {
+			continue
+		}
+		entries, err := readLog(s.Fleet.ExecutionLog(vm.Name))
+		must(t, err)
+		for _, e := range entries {
+			if e.Phase == execlog.Start && e.Wall > from.UnixNano() && e.Wall < to.UnixNano() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func domainOf(s *Scene, vm string) string {
+	for _, v := range s.Fleet.VMs {
+		if v.Name == vm {
+			return v.FailureDomain
+		}
+	}
+	return ""
+}
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -56,11 +56,13 @@
 	Unchecked bool
 	// Settings is TOML text added to each node's settings.
 	Settings string
+	// Network puts the failure domains apart, so that they can be cut off; nil for none.
+	Network *fleet.Network
 }
 
 // Open starts a fleet, applies a sheet and probes until every key is served.
 func Open(o Options) (*Scene, error) {
-	f, err := fleet.Start(fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings})
+	f, err := fleet.Start(fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings, Network: o.Network})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -224,7 +224,7 @@
 
 %s
 `, vm.Name, vm.Region, vm.FailureDomain, vm.Cell, ip+":"+entryPort, ip+":"+peerPort, f.peerAddress(vm.Name),
-		ip+":"+localPort, ip+":"+adminPort, f.storeURLFrom(vm.Region), f.Settings)
+		ip+":"+localPort, ip+":"+adminPort, f.storeURLFrom(vm), f.Settings)
 }
 
 // ExecutionLog returns the path of the target's execution log.
