--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -46,6 +46,8 @@
 	reading   bool
 	readAt    time.Duration
 	storeDown bool
+	// confirmed is when the record was last read, also at an unchanged version.
+	confirmed time.Duration
 	// versionSeen is when the present version was first seen.
 	versionSeen time.Duration
 	write       *write
@@ -153,6 +155,8 @@
 		m.targetGone(e)
 	case ClockJumped:
 		m.clockJumped()
+	case StopsRead:
+		m.stopsRead(e)
 	case LeaveAsked:
 		m.leaveAsked()
 	}
@@ -215,6 +219,7 @@
 	case ReadFound:
 		m.storeDown = false
 		m.absent = false
+		m.confirmed = m.now
 		m.resolve(e)
 		m.learn(e.Version, e.Record)
 		m.moveVersion(e.Version)
@@ -317,11 +322,7 @@
 	m.holder.sent = make(map[uint64]sentBeat)
 	m.endAll("the clocks disagree")
 	if m.ctl != nil {
-		m.ctl.authority = m.now
-		m.ctl.asked = make(map[uint64]time.Duration)
-		m.ctl.quietUntil = max(m.ctl.quietUntil, m.now+m.timing.wait(m.timing.Lease))
-		m.ctl.expected = nil
-		m.ctl.quiet = true
+		m.ctl.clockJumped(m.now, m.now+m.timing.wait(m.timing.Lease))
 	}
 	m.standby.until = max(m.standby.until, m.now+m.timing.wait(max(m.timing.Lease, m.timing.Promise)))
 }
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -58,6 +58,8 @@
 	Settings string
 	// Network puts the failure domains apart, so that they can be cut off; nil for none.
 	Network *fleet.Network
+	// TargetArgs are further arguments of each target stand-in.
+	TargetArgs []string
 }
 
 // Open starts a fleet, applies a sheet and probes until every key is served.
@@ -86,6 +88,7 @@
 			FailureDomain: domain,
 			Slots:         6,
 			ChecksFences:  !o.Unchecked,
+			TargetArgs:    o.TargetArgs,
 		}
 	}
 	return list
