--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -149,11 +149,19 @@
 	return true, reason
 }
 
-// settled reports whether the nodes that start together have had time to join, so that
-// slices without an owner are dealt out among all of them.
+// settled reports whether the nodes that start together have joined and their targets are
+// ready, so that slices without an owner are dealt out among all of them.
 func (m *Machine) settled() bool {
 	c := m.ctl
-	return m.now-c.plans.joinedAt >= settleTime || m.now-c.since >= settleMax
+	if m.now-c.since >= settleMax {
+		return true
+	}
+	for _, n := range c.members {
+		if m.live(n) && n.Target.State != TargetReady {
+			return false
+		}
+	}
+	return m.now-c.plans.joinedAt >= settleTime
 }
 
 // targetSafe reports whether no request can still run on the lost owner's target outside a
