Number the drains; wait for moves that drain slowly again

Drains are numbered now, and one that a lapse ended no longer blocks the next (TestEndOfFormerDrain fails without the number).

--- a/core/cell/adopt.go
+++ b/core/cell/adopt.go
@@ -75,17 +75,12 @@
 	h := &m.holder
 	l := h.held[id]
 	if l == nil {
-		_, draining := h.draining[id]
-		l = &holding{draining: draining}
+		l = &holding{}
 		h.held[id] = l
 	}
 	l.fence = g.Fence
 	l.until = max(l.until, until)
-	drained, draining := h.draining[id]
-	if draining && drained.Seq != g.Fence.Seq {
-		delete(h.draining, id)
-		l.draining, draining = false, false
-	}
+	_, draining := h.draining[id]
 	adoption := Adoption{Slice: id, Fence: m.adoptedFence(id, g.Fence), Until: l.until}
 	if !draining {
 		adoption.Window = g.Window
@@ -96,8 +91,8 @@
 // adoptedFence is the fence under which the request side holds the slice. While it drains,
 // the lease of what still runs goes on; a higher fence would open the slice again.
 func (m *Machine) adoptedFence(id keyspace.SliceID, f fence.Fence) fence.Fence {
-	if drained, ok := m.holder.draining[id]; ok {
-		return drained
+	if d, ok := m.holder.draining[id]; ok {
+		return d.fence
 	}
 	return f
 }
@@ -108,12 +103,10 @@
 		if _, busy := m.holder.draining[id]; !ok || busy || !m.mayAdopt(g) {
 			continue
 		}
-		m.holder.draining[id] = g.Fence
-		if l := m.holder.held[id]; l != nil {
-			l.draining = true
-		}
+		m.holder.drains++
+		m.holder.draining[id] = drainState{fence: g.Fence, number: m.holder.drains}
 		m.decide("drain slice", id, m.self.Name, "the controller moves it")
-		m.emit(DrainSlice{Slice: id})
+		m.emit(DrainSlice{Slice: id, Number: m.holder.drains})
 		m.emit(TableChanged{})
 	}
 }
@@ -121,10 +114,11 @@
 // sliceDrained gives the slice back with a fence that the node will not adopt again.
 func (m *Machine) sliceDrained(e SliceDrained) {
 	h := &m.holder
-	f, ok := h.draining[e.Slice]
-	if !ok {
+	d, ok := h.draining[e.Slice]
+	if !ok || d.number != e.Number {
 		return
 	}
+	f := d.fence
 	delete(h.draining, e.Slice)
 	if l := h.held[e.Slice]; l != nil && f.Less(l.fence) {
 		f = l.fence
--- a/core/cell/controller.go
+++ b/core/cell/controller.go
@@ -29,8 +29,6 @@
 	// seq is the assignment that the move ends.
 	seq   uint64
 	since time.Duration
-	// voluntary moves are given up when the slice takes long to drain.
-	voluntary bool
 }
 
 // release is a slice that its owner has given back.
--- a/core/cell/draft.go
+++ b/core/cell/draft.go
@@ -15,7 +15,6 @@
 	changed := m.draftActivations(r)
 	changed = m.draftSheet(r) || changed
 	changed = m.draftReleased(r, touched) || changed
-	changed = m.draftOverdue(r, touched) || changed
 	changed = m.draftLost(r, touched) || changed
 	changed = m.draftTargets(r) || changed
 	if changed || m.ctl.plans.dirty {
@@ -68,23 +67,6 @@
 	return changed
 }
 
-// draftOverdue assigns slices that take long to drain to their owners again, under a new
-// number: the higher fence tells the owner to open the slice.
-func (m *Machine) draftOverdue(r *Record, touched map[keyspace.SliceID]bool) bool {
-	changed := false
-	for _, id := range sortedSlices(m.ctl.moving) {
-		a := r.assignment(id)
-		if a == nil || touched[id] || !m.overdue(id) {
-			continue
-		}
-		m.assign(a, id, a.Owner, touched)
-		m.ctl.plans.restUntil[id] = m.now + restAfter
-		m.decide("give up move", id, a.Owner, "the slice takes long to drain")
-		changed = true
-	}
-	return changed
-}
-
 func (m *Machine) assignReleased(r *Record, a *Assignment, id keyspace.SliceID, touched map[keyspace.SliceID]bool) {
 	c := m.ctl
 	mv, moving := c.moving[id]
--- a/core/cell/effects.go
+++ b/core/cell/effects.go
@@ -71,8 +71,12 @@
 	Reason string
 }
 
-// DrainSlice tells the request side to hand a slice back; SliceDrained follows.
-type DrainSlice struct{ Slice keyspace.SliceID }
+// DrainSlice tells the request side to hand a slice back; SliceDrained with the same number
+// follows, unless the lease ends first.
+type DrainSlice struct {
+	Slice  keyspace.SliceID
+	Number uint64
+}
 
 // TableChanged tells that a route may have changed.
 type TableChanged struct{}
--- a/core/cell/events.go
+++ b/core/cell/events.go
@@ -84,6 +84,7 @@
 // SliceDrained tells that nothing of a drained slice runs any more.
 type SliceDrained struct {
 	Slice  keyspace.SliceID
+	Number uint64
 	Window []byte
 }
 
--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -9,9 +9,8 @@
 
 // holding is a lease that the node holds.
 type holding struct {
-	fence    fence.Fence
-	until    time.Duration
-	draining bool
+	fence fence.Fence
+	until time.Duration
 }
 
 // sentBeat is what a heartbeat said: leases in its answer count from its time and are good
@@ -21,6 +20,12 @@
 	target uint64
 }
 
+// drainState is a hand-over under way. One that began before the lease lapsed is over.
+type drainState struct {
+	fence  fence.Fence
+	number uint64
+}
+
 // holder is the node's part as an owner.
 type holder struct {
 	held map[keyspace.SliceID]*holding
@@ -42,7 +47,8 @@
 	// released waits for the controller to note it; refused keeps the fences for good.
 	released map[keyspace.SliceID]Release
 	refused  map[keyspace.SliceID]fence.Fence
-	draining map[keyspace.SliceID]fence.Fence
+	draining map[keyspace.SliceID]drainState
+	drains   uint64
 }
 
 func (h *holder) init() {
@@ -51,7 +57,7 @@
 	h.sent = make(map[uint64]sentBeat)
 	h.released = make(map[keyspace.SliceID]Release)
 	h.refused = make(map[keyspace.SliceID]fence.Fence)
-	h.draining = make(map[keyspace.SliceID]fence.Fence)
+	h.draining = make(map[keyspace.SliceID]drainState)
 	h.beatAt = -time.Hour
 }
 
@@ -68,6 +74,7 @@
 		if l.until <= m.now {
 			lapsed = append(lapsed, id)
 			delete(m.holder.held, id)
+			delete(m.holder.draining, id)
 		}
 	}
 	if len(lapsed) > 0 {
@@ -83,6 +90,7 @@
 		all = append(all, id)
 	}
 	m.holder.held = make(map[keyspace.SliceID]*holding)
+	m.holder.draining = make(map[keyspace.SliceID]drainState)
 	if len(all) > 0 {
 		sortSlices(all)
 		m.emit(EndLeases{Slices: all, Reason: reason})
--- a/core/cell/holder_test.go
+++ b/core/cell/holder_test.go
@@ -79,7 +79,7 @@
 	"release fence": func(l *lone) {
 		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(a *Answer) { a.Drain = []keyspace.SliceID{testSlice} })
 		delete(l.held, testSlice)
-		l.step(SliceDrained{Slice: testSlice})
+		l.step(SliceDrained{Slice: testSlice, Number: 1})
 		l.beat()
 		l.grant(fence.Fence{Epoch: 1, Seq: 5}, func(*Answer) {})
 	},
@@ -145,7 +145,7 @@
 	if got := l.held[testSlice]; got.Fence != first || got.Until <= until {
 		t.Errorf("adopted %v until %v, want %v prolonged over %v", got.Fence, got.Until, first, until)
 	}
-	l.step(SliceDrained{Slice: testSlice})
+	l.step(SliceDrained{Slice: testSlice, Number: 1})
 	if last := l.beats[len(l.beats)-1]; len(last.Released) != 1 || last.Released[0].Fence.Epoch != 2 {
 		t.Errorf("released %v, want the fence of the next epoch", last.Released)
 	}
@@ -225,3 +225,26 @@
 		t.Error("no takeover after a read that shows the same version")
 	}
 }
+
+// TestEndOfFormerDrain checks that the end of a drain that began under a lapsed lease does
+// not end the drain that follows.
+func TestEndOfFormerDrain(t *testing.T) {
+	l := newLone(func(*guards) {}, true)
+	draining := func(a *Answer) { a.Drain = []keyspace.SliceID{testSlice} }
+	l.grant(fence.Fence{Epoch: 1, Seq: 5}, draining)
+	l.now += 3 * time.Second
+	l.step(Tick{})
+	l.beat()
+	l.grant(fence.Fence{Epoch: 1, Seq: 5}, draining)
+	if l.drain != 2 {
+		t.Fatalf("%d drains, want one under each lease", l.drain)
+	}
+	l.step(SliceDrained{Slice: testSlice, Number: 1})
+	if l.beat(); len(l.beats[len(l.beats)-1].Released) != 0 {
+		t.Error("released at the end of the former drain")
+	}
+	l.step(SliceDrained{Slice: testSlice, Number: 2})
+	if len(l.beats[len(l.beats)-1].Released) != 1 {
+		t.Error("not released at the end of its own drain")
+	}
+}
--- a/core/cell/moves.go
+++ b/core/cell/moves.go
@@ -14,11 +14,6 @@
 	churnPerMinute = 0.02
 	// spreadInterval is the time between two decisions that spread slices and work.
 	spreadInterval = time.Second
-	// giveUpAfter is how long a move that only spreads work waits for its slice to drain:
-	// until then no request of the slice is admitted.
-	giveUpAfter = 2 * time.Second
-	// restAfter is how long a slice whose move was given up is left alone.
-	restAfter = time.Minute
 	// hotWork is the slot time per second of one key that earns it a slice, in milliseconds.
 	hotWork = 500
 	// hotShareMin is the least share of its slice's work of such a key, in thousandths.
@@ -40,21 +35,6 @@
 	m.pokeName(r.owner)
 }
 
-// voluntary marks a move that is given up rather than waited for.
-func (m *Machine) voluntary(id keyspace.SliceID) {
-	if mv, ok := m.ctl.moving[id]; ok {
-		mv.voluntary = true
-		m.ctl.moving[id] = mv
-	}
-}
-
-// overdue reports whether a voluntary move has waited too long for its slice to drain.
-func (m *Machine) overdue(id keyspace.SliceID) bool {
-	mv, ok := m.ctl.moving[id]
-	g, granted := m.ctl.granted[id]
-	return ok && mv.voluntary && m.now-mv.since > giveUpAfter && granted && g.until > m.now
-}
-
 // planMoves starts the planned moves that the present state asks for.
 func (m *Machine) planMoves() {
 	c := m.ctl
@@ -102,18 +82,16 @@
 	for _, mv := range placement.Fill(p, limit) {
 		filling[mv.To] = true
 		m.startMove(mv.ID, mv.To, mv.Reason, "")
-		m.voluntary(mv.ID)
 	}
 	c.plans.filling = filling
 }
 
-// pinned marks the slices of p that move, are not served, or could not be drained lately.
+// pinned marks the slices of p that move or are not served.
 func (m *Machine) pinned(p placement.Problem) placement.Problem {
 	for i := range p.Slices {
 		_, moving := m.ctl.moving[p.Slices[i].ID]
 		_, granted := m.ctl.granted[p.Slices[i].ID]
-		rests := m.now < m.ctl.plans.restUntil[p.Slices[i].ID]
-		p.Slices[i].Pinned = moving || !granted || rests
+		p.Slices[i].Pinned = moving || !granted
 	}
 	return p
 }
@@ -183,7 +161,6 @@
 	}
 	for _, mv := range placement.Balance(p, budget) {
 		m.startMove(mv.ID, mv.To, mv.Reason, "")
-		m.voluntary(mv.ID)
 		c.plans.churned++
 	}
 }
@@ -199,13 +176,12 @@
 			continue
 		}
 		m.startMove(id, c.routes.slices[id].owner, "one key carries most of the slice's work", w.hotKey)
-		m.voluntary(id)
 	}
 }
 
 func (m *Machine) splittable(id keyspace.SliceID, key string) bool {
 	c := m.ctl
-	if _, granted := c.granted[id]; !granted || m.now < c.plans.restUntil[id] {
+	if _, granted := c.granted[id]; !granted {
 		return false
 	}
 	for i := range m.rec.Ranges {
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -35,8 +35,6 @@
 	loads    loads
 	// filling has the nodes that are being given their share.
 	filling map[string]bool
-	// restUntil has the slices whose moves were given up.
-	restUntil map[keyspace.SliceID]time.Duration
 	// churnAt and churned count planned moves for balance in the present minute.
 	churnAt time.Duration
 	churned int
@@ -47,7 +45,6 @@
 	p.spreadAt = -time.Hour
 	p.adopting = true
 	p.filling = make(map[string]bool)
-	p.restUntil = make(map[keyspace.SliceID]time.Duration)
 	p.dirty = true
 	p.loads.init()
 }
--- a/core/cell/world_check_test.go
+++ b/core/cell/world_check_test.go
@@ -92,7 +92,7 @@
 		return
 	}
 	for id, h := range w.holders {
-		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.m.draining(id) {
+		if h.node != (Node{n.name, n.inc}) || h.until <= w.t || n.m.holder.draining[id].number != 0 {
 			continue
 		}
 		if r, busy := w.running[id]; !busy || r.until <= w.t {
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -239,7 +239,7 @@
 		w.after(n.pausedUntil-w.t, func() { w.step(n, inc, e) })
 		return
 	}
-	if d, ok := e.(SliceDrained); ok && n.m.draining(d.Slice) {
+	if d, ok := e.(SliceDrained); ok && n.m.draining(d) {
 		w.ended(n, d.Slice)
 	}
 	for _, effect := range n.m.Step(n.clock(w.t), e) {
@@ -248,10 +248,9 @@
 	w.checkNode(n)
 }
 
-// draining reports whether the machine still means to give the slice back.
-func (m *Machine) draining(id keyspace.SliceID) bool {
-	_, ok := m.holder.draining[id]
-	return ok
+// draining reports whether the machine awaits the end of this very drain.
+func (m *Machine) draining(d SliceDrained) bool {
+	return m.holder.draining[d.Slice].number == d.Number
 }
 
 func (w *world) checkNode(n *simNode) {
@@ -298,7 +297,7 @@
 			w.ended(n, id)
 		}
 	case DrainSlice:
-		w.drainLoop(n, inc, e.Slice)
+		w.drainLoop(n, inc, e)
 	case ProbePeer:
 		w.probePeer(n, inc, e.Peer)
 	case ProbeTarget:
@@ -318,16 +317,17 @@
 }
 
 // drainLoop reports a slice drained once its target runs nothing of it.
-func (w *world) drainLoop(n *simNode, inc uint64, id keyspace.SliceID) {
+func (w *world) drainLoop(n *simNode, inc uint64, e DrainSlice) {
+	id := e.Slice
 	if n.m == nil || n.inc != inc {
 		return
 	}
 	if r, busy := w.running[id]; busy && r.node == n.name && r.until > w.t {
-		w.after(20*time.Millisecond, func() { w.drainLoop(n, inc, id) })
+		w.after(20*time.Millisecond, func() { w.drainLoop(n, inc, e) })
 		return
 	}
 	w.after(max(w.chaos.drainFor, 10*time.Millisecond), func() {
-		w.step(n, inc, SliceDrained{Slice: id, Window: []byte("window")})
+		w.step(n, inc, SliceDrained{Slice: id, Number: e.Number, Window: []byte("window")})
 	})
 }
 
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -108,7 +108,7 @@
 	case cell.EndLeases:
 		c.end(e)
 	case cell.DrainSlice:
-		c.drain(e.Slice)
+		c.drain(e)
 	case cell.TableChanged:
 		c.publishRoutes()
 	case cell.ProbePeer:
@@ -167,10 +167,10 @@
 
 // drain hands a slice back. Its ids go with it, so a later grant to this process starts
 // without them.
-func (c *Control) drain(slice keyspace.SliceID) {
-	delete(c.firsts, slice)
-	c.holder.Drain(slice, func(window []byte) {
-		go c.post(cell.SliceDrained{Slice: slice, Window: window})
+func (c *Control) drain(e cell.DrainSlice) {
+	delete(c.firsts, e.Slice)
+	c.holder.Drain(e.Slice, func(window []byte) {
+		go c.post(cell.SliceDrained{Slice: e.Slice, Number: e.Number, Window: window})
 	})
 }
 
