--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -35,8 +35,6 @@
 	loads    loads
 	// filling has the nodes that are being given their share.
 	filling map[string]bool
-	// restUntil has the slices whose moves were given up.
-	restUntil map[keyspace.SliceID]time.Duration
 	// churnAt and churned count planned moves for balance in the present minute.
 	churnAt time.Duration
 	churned int
@@ -47,7 +45,6 @@
 	p.spreadAt = -time.Hour
 	p.adopting = true
 	p.filling = make(map[string]bool)
-	p.restUntil = make(map[keyspace.SliceID]time.Duration)
 	p.dirty = true
 	p.loads.init()
 }
@@ -149,11 +146,19 @@
 	return true, reason
 }
 
-// settled reports whether the nodes that start together have had time to join, so that
-// slices without an owner are dealt out among all of them.
+// settled reports whether the nodes that start together have joined and their targets are
+// ready, so that slices without an owner are dealt out among all of them.
 func (m *Machine) settled() bool {
 	c := m.ctl
-	return m.now-c.plans.joinedAt >= settleTime || m.now-c.since >= settleMax
+	if m.now-c.since >= settleMax {
+		return true
+	}
+	for _, n := range c.members {
+		if m.live(n) && n.Target.State != TargetReady {
+			return false
+		}
+	}
+	return m.now-c.plans.joinedAt >= settleTime
 }
 
 // targetSafe reports whether no request can still run on the lost owner's target outside a
