--- a/core/cell/adopt.go
+++ b/core/cell/adopt.go
@@ -120,17 +120,7 @@
 	}
 	f := d.fence
 	delete(h.draining, e.Slice)
-	if l := h.held[e.Slice]; l != nil && f.Less(l.fence) {
-		f = l.fence
-	}
-	if g, ok := h.set[e.Slice]; ok && f.Less(g.Fence) {
-		f = g.Fence
-	}
-	h.refused[e.Slice] = f
-	h.released[e.Slice] = Release{Slice: e.Slice, Fence: f, Window: e.Window}
-	delete(h.held, e.Slice)
-	delete(h.set, e.Slice)
-	h.beatSoon = true
+	m.giveBack(e.Slice, f, e.Window)
 	m.emit(TableChanged{})
 	m.heartbeatTick()
 }
--- a/core/cell/effects.go
+++ b/core/cell/effects.go
@@ -78,6 +78,13 @@
 	Number uint64
 }
 
+// AbandonSlices asks the request side to give up slices at once, unless the target may still
+// hold a grant; SlicesAbandoned follows if it did.
+type AbandonSlices struct {
+	Slices []keyspace.SliceID
+	Reason string
+}
+
 // TableChanged tells that a route may have changed.
 type TableChanged struct{}
 
@@ -113,6 +120,7 @@
 func (AdoptLeases) effect()     {}
 func (EndLeases) effect()       {}
 func (DrainSlice) effect()      {}
+func (AbandonSlices) effect()   {}
 func (TableChanged) effect()    {}
 func (ProbePeer) effect()       {}
 func (ProbeTarget) effect()     {}
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/grpc"
 
+	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
@@ -47,6 +48,11 @@
 	}
 }
 
+func (h *fakeHolder) Abandon(slices []keyspace.SliceID, reason string) bool {
+	h.End(slices, reason)
+	return true
+}
+
 func (h *fakeHolder) Drain(slice keyspace.SliceID, done func([]byte)) {
 	h.mu.Lock()
 	h.closed[slice] = h.leases[slice].Fence
@@ -276,3 +282,40 @@
 		t.Errorf("nodes disagree on the owner: %s, %s", first.Owner.Name, second.Owner.Name)
 	}
 }
+
+// TestLapseDatesTheNextGrantAnew ends a node's leases, and with them the memory of request
+// ids. When it is granted the same assignment again, ids minted before must be refused.
+func TestLapseDatesTheNextGrantAnew(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	n := startNode(t, store, "vm-a", "debrecen", "alfold")
+	all := []*testNode{n}
+	waitFor(t, "served", 10*time.Second, func() bool { return served(t, all) == testSlices })
+	ended := time.Now()
+	n.control.post(cell.ClockJumped{})
+	waitFor(t, "granted again", 10*time.Second, func() bool {
+		for _, l := range n.holder.live() {
+			if l.FirstAt.Before(ended) {
+				return false
+			}
+		}
+		return served(t, all) == testSlices
+	})
+}
+
+// TestTargetAddressForOthers checks that other nodes learn where a target can be probed, and
+// only an address that means the same VM to them.
+func TestTargetAddressForOthers(t *testing.T) {
+	cases := map[string]string{
+		"10.0.0.7:7005":  "10.0.0.7:7005",
+		"127.0.0.1:7005": "",
+		"":               "",
+	}
+	for address, want := range cases {
+		holder := &fakeHolder{target: plane.TargetReport{State: plane.TargetReady, Address: address}}
+		c := &Control{cfg: Config{Self: plane.Peer{EntryAddress: "10.0.0.7:7001"}}, holder: holder}
+		if got := c.localTarget().Address; got != want {
+			t.Errorf("target at %q: others are told %q, want %q", address, got, want)
+		}
+	}
+}
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
@@ -53,7 +54,7 @@
 			if clock.Jumped(now, time.Now()) {
 				c.step(ctx, envelope{event: cell.ClockJumped{}})
 			}
-			report := cell.TargetReported{Target: targetOf(c.holder.Report())}
+			report := cell.TargetReported{Target: c.localTarget()}
 			if now-loadsAt >= loadInterval {
 				loadsAt = now
 				report.Loads = loadsOf(c.holder.SliceLoads())
@@ -68,6 +69,19 @@
 	}
 }
 
+// localTarget returns the state of the target. Its address is left out unless it is one of the
+// node's own VM as others reach it: another node that finds an address refused must not take
+// its own loopback for this VM.
+func (c *Control) localTarget() cell.Target {
+	report := c.holder.Report()
+	target, _, _ := net.SplitHostPort(report.Address)
+	entry, _, _ := net.SplitHostPort(c.cfg.Self.EntryAddress)
+	if target != entry {
+		report.Address = ""
+	}
+	return targetOf(report)
+}
+
 // step feeds the machine one event and what follows from it on this node.
 func (c *Control) step(ctx context.Context, e envelope) {
 	c.apply(ctx, e)
@@ -107,6 +121,8 @@
 		c.adopt(e.Leases)
 	case cell.EndLeases:
 		c.end(e)
+	case cell.AbandonSlices:
+		c.abandon(e)
 	case cell.DrainSlice:
 		c.drain(e)
 	case cell.TableChanged:
@@ -162,9 +178,27 @@
 func (c *Control) end(e cell.EndLeases) {
 	c.metrics.ended.Add(float64(len(e.Slices)))
 	c.log.Warn("leases end", "slices", len(e.Slices), "first", e.Slices[0].String(), "reason", e.Reason)
+	c.forgetFirsts(e.Slices)
 	c.holder.End(e.Slices, e.Reason)
 }
 
+// abandon gives slices up if the request side may.
+func (c *Control) abandon(e cell.AbandonSlices) {
+	if !c.holder.Abandon(e.Slices, e.Reason) {
+		return
+	}
+	c.forgetFirsts(e.Slices)
+	c.local = append(c.local, cell.SlicesAbandoned{Slices: e.Slices})
+}
+
+// forgetFirsts dates the next grant of the slices anew: the ids that ran under the last one
+// are remembered no more.
+func (c *Control) forgetFirsts(slices []keyspace.SliceID) {
+	for _, id := range slices {
+		delete(c.firsts, id)
+	}
+}
+
 // drain hands a slice back. Its ids go with it, so a later grant to this process starts
 // without them.
 func (c *Control) drain(e cell.DrainSlice) {
--- a/standin/faults/cut_test.go
+++ b/standin/faults/cut_test.go
@@ -27,15 +27,15 @@
 	}{{"of the controller", controller}, {"of the standby", standby}} {
 		t.Run(c.name, func(t *testing.T) {
 			s := scene(t, apart)
-			domain := domainOf(s, c.hit(t, s))
-			t.Logf("controller %s, standby %s, cut off %s", controller(t, s), standby(t, s), domain)
+			domain := domainOf(s, c.hit(t, s)[0])
+			t.Logf("controller %s, standby %s, cut off %s", controller(t, s)[0], standby(t, s)[0], domain)
 			began := time.Now()
 			must(t, s.Fleet.Cut(domain, ""))
 			time.Sleep(2 * servedAgainIn)
 			healed := time.Now()
 			must(t, s.Fleet.Heal("", ""))
 			settle(t, s)
-			report(t, s, began, servedAgainIn)
+			report(t, s, began, servedAgainIn, nil)
 			if n := executionsIn(t, s, domain, began.Add(servedAgainIn), healed); n > 0 {
 				t.Errorf("%d executions in the half cut off after its leases had lapsed", n)
 			}
--- a/standin/fleet/link.go
+++ b/standin/fleet/link.go
@@ -35,8 +35,14 @@
 	RegionDelay time.Duration
 	// RegionMbits is the rate between two regions each way, in Mbit/s.
 	RegionMbits float64
+	// PerVM makes each VM a place of its own, named like the VM, and the store one named
+	// StorePlaceName, so that the ways between single VMs can be cut.
+	PerVM bool
 }
 
+// StorePlaceName is the place of the store in a network whose VMs are places of their own.
+const StorePlaceName = "store"
+
 // startLink starts the relay between the places of the plan, if it has any.
 func (f *Fleet) startLink() error {
 	if f.Network == nil {
@@ -67,7 +73,7 @@
 		RegionMbits:   f.Network.RegionMbits,
 	}
 	for _, vm := range f.VMs {
-		place := placeOf(vm)
+		place := f.place(vm)
 		plan.Places[f.ips[vm.Name]] = place
 		plan.Routes = append(plan.Routes, link.Route{
 			Listen: f.peerAddress(vm.Name), To: f.ips[vm.Name] + ":" + peerPort, ToPlace: place,
@@ -84,6 +90,14 @@
 	return plan
 }
 
+// place returns where a VM stands in the network.
+func (f *Fleet) place(vm VM) link.Place {
+	if f.Network.PerVM {
+		return link.Place{Region: vm.Region, FailureDomain: vm.Name}
+	}
+	return link.Place{Region: vm.Region, FailureDomain: vm.FailureDomain}
+}
+
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // places returns the places of the VMs in their order. Each has a way to the store of its
@@ -91,17 +105,13 @@
 func (f *Fleet) places() []link.Place {
 	var places []link.Place
 	for _, vm := range f.VMs {
-		if place := placeOf(vm); !slices.Contains(places, place) {
+		if place := f.place(vm); !slices.Contains(places, place) {
 			places = append(places, place)
 		}
 	}
 	return places
 }
 
-func placeOf(vm VM) link.Place {
-	return link.Place{Region: vm.Region, FailureDomain: vm.FailureDomain}
-}
-
 // peerAddress returns the address under which other nodes reach the VM's node.
 func (f *Fleet) peerAddress(name string) string {
 	if f.Network == nil {
@@ -116,7 +126,7 @@
 	if f.Network == nil {
 		return f.StoreURL()
 	}
-	port := linkStorePort + slices.Index(f.places(), placeOf(vm))
+	port := linkStorePort + slices.Index(f.places(), f.place(vm))
 	return "http://" + f.network + "1:" + strconv.Itoa(port)
 }
 
--- a/standin/target/grants.go
+++ b/standin/target/grants.go
@@ -11,11 +11,12 @@
 	"github.com/auburnrelay/auburnrelay/standin/execlog"
 )
 
-// GrantMessage gives the target one slice for a time.
+// GrantMessage gives the target one slice until a reading of the machine's boot-time clock,
+// in milliseconds. A message that is read late is so no longer grant.
 type GrantMessage struct {
 	Slice       string `json:"slice"`
 	Fence       string `json:"fence"`
-	RemainingMS int64  `json:"remaining_ms"`
+	UntilBootMS int64  `json:"until_boot_ms"`
 }
 
 // GrantsMessage is the body of PUT /v1/grants.
@@ -33,6 +34,9 @@
 type grant struct {
 	// highest is the highest fence ever seen for the slice.
 	highest fence.Fence
+	// from is the fence since which the grant has run without a gap: nobody else can have had
+	// the slice since, so work begun under it may still take effect.
+	from fence.Fence
 	// until is when the grant lapses, on the boot-time clock; zero after a revocation.
 	until time.Duration
 }
@@ -47,14 +51,18 @@
 }
 
 // take stores the grant unless its fence is below one already seen.
-func (g *grantTable) take(slice string, f fence.Fence, remaining time.Duration) bool {
+func (g *grantTable) take(slice string, f fence.Fence, until time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.slices[slice]
 	if f.Less(known.highest) {
 		return false
 	}
-	g.slices[slice] = grant{highest: f, until: execlog.BootTime() + remaining}
+	next := grant{highest: f, from: known.from, until: until}
+	if execlog.BootTime() >= known.until {
+		next.from = f
+	}
+	g.slices[slice] = next
 	return true
 }
 
@@ -81,6 +89,14 @@
 	}
 }
 
+// mayFinish reports whether work begun under the fence may take effect now.
+func (g *grantTable) mayFinish(slice string, f fence.Fence) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.slices[slice]
+	return !f.Less(known.from) && execlog.BootTime() < known.until
+}
+
 func (t *Target) putGrants(c echo.Context) error {
 	var m GrantsMessage
 	if err := c.Bind(&m); err != nil {
@@ -92,8 +108,8 @@
 		if err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
-		remaining := time.Duration(g.RemainingMS) * time.Millisecond
-		if !t.grants.take(g.Slice, f, remaining) {
+		until := time.Duration(g.UntilBootMS) * time.Millisecond
+		if !t.grants.take(g.Slice, f, until) {
 			refused.Refused = append(refused.Refused, g.Slice)
 		}
 	}
