--- a/core/account/collector.go
+++ b/core/account/collector.go
@@ -27,7 +27,7 @@
 }
 
 // joinDelay is how long a process may be unknown to the stored account. What a process
-// counted is marked as a gap only if the account knew the process.
+// counted is marked as a gap only if the account or the cell's record knew the process.
 const joinDelay = 5 * time.Second
 
 // Batch is one message of a node to its cell's collector.
@@ -62,6 +62,8 @@
 	pending  []*portion
 	// stored tells that a segment in the store lists the process.
 	stored bool
+	// expected tells that the process was named by the record and has sent nothing yet.
+	expected bool
 }
 
 // Collector books the reports of one cell. It decides only: its owner writes the segments
@@ -113,10 +115,13 @@
 	m, known := c.members[b.Process]
 	if !known {
 		b.dropForgotten(now)
-		c.endFormer(b.Node, now)
 		m = &member{open: Open{Process: b.Process, Until: now}}
 		c.members[b.Process] = m
 	}
+	if !known || m.expected {
+		c.endFormer(b.Process, now)
+		m.expected = false
+	}
 	m.open.Seen = now
 	m.open.Silent = false
 	c.markMissing(m, b)
@@ -126,6 +131,15 @@
 	return Ack{Accepted: m.accepted, Booked: m.open.Last}
 }
 
+// Expect lists a process that the cell's record names, so that one which was lost before any
+// segment listed it is marked as a gap.
+func (c *Collector) Expect(p Process, now time.Time) {
+	if _, known := c.members[p]; known {
+		return
+	}
+	c.members[p] = &member{open: Open{Process: p, Until: now, Seen: now}, expected: true}
+}
+
 // dropForgotten removes the reports of an unknown process that may have been booked before
 // the account forgot the process.
 func (b *Batch) dropForgotten(now time.Time) {
@@ -136,9 +150,9 @@
 }
 
 // endFormer marks a gap for the former processes of a node that runs again.
-func (c *Collector) endFormer(node string, now time.Time) {
+func (c *Collector) endFormer(process Process, now time.Time) {
 	for _, m := range c.sortedMembers() {
-		if m.open.Node != node || m.open.Closed || m.isFinal() {
+		if m.open.Node != process.Node || m.open.Process == process || m.open.Closed || m.isFinal() {
 			continue
 		}
 		if !m.open.Silent {
--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -16,6 +16,8 @@
 	forgetAfter = 10 * time.Second
 	// settleTime is how long members must stay the same before planned moves start.
 	settleTime = 500 * time.Millisecond
+	// settleMax bounds the wait for more members after an epoch began.
+	settleMax = 2 * time.Second
 	// probeInterval is the time between two probes of a lost node's target.
 	probeInterval = 500 * time.Millisecond
 )
@@ -33,8 +35,6 @@
 	loads    loads
 	// filling has the nodes that are being given their share.
 	filling map[string]bool
-	// restUntil has the slices whose moves were given up.
-	restUntil map[keyspace.SliceID]time.Duration
 	// churnAt and churned count planned moves for balance in the present minute.
 	churnAt time.Duration
 	churned int
@@ -45,7 +45,6 @@
 	p.spreadAt = -time.Hour
 	p.adopting = true
 	p.filling = make(map[string]bool)
-	p.restUntil = make(map[keyspace.SliceID]time.Duration)
 	p.dirty = true
 	p.loads.init()
 }
@@ -120,7 +119,7 @@
 func (m *Machine) ownerLost(id keyspace.SliceID, r route) (bool, string) {
 	c := m.ctl
 	if r.owner == "" {
-		return true, "nobody owns it"
+		return m.settled(), "nobody owns it"
 	}
 	if g, ok := c.granted[id]; ok && g.until > m.now && !m.guards.noLapseWait {
 		return false, ""
@@ -147,6 +146,21 @@
 	return true, reason
 }
 
+// settled reports whether the nodes that start together have joined and their targets are
+// ready, so that slices without an owner are dealt out among all of them.
+func (m *Machine) settled() bool {
+	c := m.ctl
+	if m.now-c.since >= settleMax {
+		return true
+	}
+	for _, n := range c.members {
+		if m.live(n) && n.Target.State != TargetReady {
+			return false
+		}
+	}
+	return m.now-c.plans.joinedAt >= settleTime
+}
+
 // targetSafe reports whether no request can still run on the lost owner's target outside a
 // fence: the target checks fences, or its process is known to have ended.
 func (m *Machine) targetSafe(owner string) bool {
--- a/standin/faults/scene.go
+++ b/standin/faults/scene.go
@@ -66,13 +66,15 @@
 	Cuts bool
 	// Settings is TOML text added to each node's settings.
 	Settings string
+	// Network puts the failure domains apart, so that they can be cut off; nil for none.
+	Network *fleet.Network
 	// TargetArgs are further arguments of each target stand-in.
 	TargetArgs []string
 }
 
 // Open starts a fleet, applies a sheet and probes until every key is served.
 func Open(o Options) (*Scene, error) {
-	plan := fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings}
+	plan := fleet.Plan{Bin: o.Bin, Dir: o.Dir, VMs: vms(o), Settings: o.Settings, Network: o.Network}
 	if o.Cuts {
 		plan.Network = &fleet.Network{
 			StorePlace:  link.Place{Region: Cell, FailureDomain: fleet.StorePlaceName},
