Release held requests over a time that grows with their number

Cause: requests that waited for an owner went on all at once when the route changed; a new owner's queue delay rose above its bound and up to 78 of some 200 were refused as shed, although their deadlines were seconds away. Ruled out: shedding in calm times (0 of 3,200 requests in 8 s of a quiet scene) and the queue's length.

--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -19,6 +19,10 @@
 	HoldLimit int64
 	// RetryPause is the wait before the same owner is asked again.
 	RetryPause time.Duration
+	// ReleasePace is the time that each waiting request adds to the release of all, at most
+	// ReleaseMax.
+	ReleasePace time.Duration
+	ReleaseMax  time.Duration
 	// DecisionSample writes a log line for one in so many routing decisions, at least one.
 	DecisionSample int
 }
--- a/node/entry/trial.go
+++ b/node/entry/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
@@ -160,7 +161,24 @@
 	defer timer.Stop()
 	select {
 	case <-changed:
+		return t.spread()
+	case <-timer.C:
+		return time.Now().Before(t.request.Deadline)
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// spread lets the requests that waited for one change of routes go on one after another, over
+// a time that grows with their number, so that they do not fill the new owner's queue at once.
+func (t *trial) spread() bool {
+	window := min(time.Duration(t.d.held.Load())*t.d.config.ReleasePace, t.d.config.ReleaseMax)
+	if window <= 0 {
 		return true
+	}
+	timer := time.NewTimer(rand.N(window))
+	defer timer.Stop()
+	select {
 	case <-timer.C:
 		return time.Now().Before(t.request.Deadline)
 	case <-t.ctx.Done():
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,10 @@
 	holdLimit = 4096
 	// retryPause is the wait before the same owner is asked again.
 	retryPause = 50 * time.Millisecond
+	// releasePace is the time that each held request adds to the release of all when routes
+	// change, at most releaseMax.
+	releasePace = 3 * time.Millisecond
+	releaseMax  = 500 * time.Millisecond
 	// keepaliveFloor is the shortest time between two pings that peers may send.
 	keepaliveFloor = 5 * time.Second
 )
@@ -153,7 +157,14 @@
 		Log:     n.log.With("part", "sharing"),
 	})
 	n.dispatch = entry.NewDispatcher(
-		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause, DecisionSample: s.Log.DecisionSample},
+		entry.DispatchConfig{
+			HoldMax:        holdMax,
+			HoldLimit:      holdLimit,
+			RetryPause:     retryPause,
+			ReleasePace:    releasePace,
+			ReleaseMax:     releaseMax,
+			DecisionSample: s.Log.DecisionSample,
+		},
 		entry.Parts{
 			Router:  n.control,
 			Local:   n.owner,
