Measure one cell at several sizes and the cost of forwarding

Cause: the slopes behind docs/CAPACITY.md for processor time, memory and sheets had no run that gives them.

standin/scale runs each node as a process of its own, reads /proc, the nodes' metrics and the store stand-in's counts, and fits lines of least squares. node/control counts message bytes by service with a grpc stats handler, a new metric wire_bytes_total; frame, TCP and IP headers are not in it. node/node.go installs it on the server.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 PROTOC_GEN_GO_GRPC := google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2
 
-.PHONY: demo test walk measure measure-check build tools generate check-generated format check-format lint tidy check-tidy clean
+.PHONY: demo test walk measure measure-check scale build tools generate check-generated format check-format lint tidy check-tidy clean
 
 # Builds everything and runs the demonstration as separate processes.
 demo: build
@@ -30,6 +30,10 @@
 	$(BUILD)/measure --bin $(BUILD) --short --no-baseline --scenario overhead
 	$(BUILD)/measure --bin $(BUILD) --short --no-baseline --profile horsebox --scenario crest
 
+# Measures one cell of 4, 8, 16 and 32 nodes and the cost of forwarding; about four minutes.
+scale: build
+	$(BUILD)/scale --bin $(BUILD)
+
 build:
 	@mkdir -p $(BUILD)
 	@cd cmd/auburnrelay && go build -o $(BUILD)/auburnrelay .
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -94,12 +94,12 @@
 		cfg: cfg, store: store, holder: holder,
 		log:     cfg.Logger.With("cell", cfg.Cell, "node", cfg.Self.Name),
 		metrics: newMetrics(cfg.Registry),
-		peers:   newPeers(cfg.Dial),
 		events:  make(chan envelope, eventQueue),
 		stopped: make(chan struct{}),
 		left:    make(chan struct{}),
 		firsts:  make(map[sliceKey]firstGrant),
 	}
+	c.peers = newPeers(cfg.Dial, c.StatsHandler())
 	c.machine = cell.New(cell.Config{Cell: cfg.Cell, Self: memberOf(cfg.Self), Timing: cfg.Timing})
 	c.view.Store(newRouteView(cfg.Self, cell.View{}))
 	return c, nil
--- a/node/control/metrics.go
+++ b/node/control/metrics.go
@@ -10,6 +10,7 @@
 
 type metrics struct {
 	messages  *prometheus.CounterVec
+	bytes     *prometheus.CounterVec
 	store     *prometheus.CounterVec
 	decisions *prometheus.CounterVec
 	adopted   prometheus.Counter
@@ -29,6 +30,7 @@
 	}
 	m := &metrics{
 		messages:  counter("messages_total", "Control messages sent, by kind and result.", "kind", "result"),
+		bytes:     counter("wire_bytes_total", "Bytes of gRPC messages and received header fields, by service and direction.", "service", "direction"),
 		store:     counter("store_calls_total", "Calls of the object store, by kind and result.", "kind", "result"),
 		decisions: counter("decisions_total", "Decisions on ownership and placement.", "what"),
 		held:      gauge("leases", "Leases held."),
@@ -40,7 +42,7 @@
 	m.adopted = leases.WithLabelValues("adopted")
 	m.ended = leases.WithLabelValues("ended")
 	if r != nil {
-		r.MustRegister(m.messages, m.store, m.decisions, leases, m.held, m.epoch, m.authority, m.sheet)
+		r.MustRegister(m.messages, m.bytes, m.store, m.decisions, leases, m.held, m.epoch, m.authority, m.sheet)
 	}
 	return m
 }
--- a/node/control/peers.go
+++ b/node/control/peers.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/stats"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/wire/cellwire"
@@ -32,12 +33,13 @@
 // peers keeps one connection per address, dialled on demand.
 type peers struct {
 	dial  func(ctx context.Context, address string) (net.Conn, error)
+	stats stats.Handler
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-func newPeers(dial func(ctx context.Context, address string) (net.Conn, error)) *peers {
-	return &peers{dial: dial, conns: make(map[string]*grpc.ClientConn)}
+func newPeers(dial func(ctx context.Context, address string) (net.Conn, error), counter stats.Handler) *peers {
+	return &peers{dial: dial, stats: counter, conns: make(map[string]*grpc.ClientConn)}
 }
 
 func (p *peers) client(address string) (pb.CellServiceClient, error) {
@@ -50,6 +52,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(p.dial),
+		grpc.WithStatsHandler(p.stats),
 		grpc.WithStaticStreamWindowSize(windowBytes),
 		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/node/node.go
+++ b/node/node.go
@@ -191,7 +191,7 @@
 	options := append(control.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
 		PermitWithoutStream: true,
-	}))
+	}), grpc.StatsHandler(n.control.StatsHandler()))
 	n.peers = grpc.NewServer(options...)
 	n.control.Register(n.peers)
 	sharing.NewServer(n.settings.Cluster.Name, n.settings.Node.Cell, n.owner).Register(n.peers)
--- /dev/null
+++ b/standin/scale/cell.go
@@ -0,0 +1,232 @@
+package scale
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/store"
+)
+
+// status is what the run needs of a node's status.
+type status struct {
+	Controller string `json:"controller"`
+	Standby    string `json:"standby"`
+	Epoch      uint64 `json:"epoch"`
+	Owners     []struct {
+		Owner  string `json:"owner"`
+		Moving bool   `json:"moving"`
+	} `json:"owners"`
+}
+
+// placed reports whether each slice has an owner and none moves or is owned by the lost VM.
+func (s status) placed(slices int, lost string) bool {
+	if len(s.Owners) < slices || s.Controller == "" || s.Standby == "" {
+		return false
+	}
+	for _, o := range s.Owners {
+		if o.Owner == "" || o.Owner == lost || o.Moving {
+			return false
+		}
+	}
+	return true
+}
+
+// settle waits until the cell's record and placement have not changed for quietTime.
+func (b *bench) settle() (status, error) {
+	var last status
+	quiet := time.Now()
+	err := fleet.Await(settleLimit, func() bool {
+		now, err := b.status(b.fleet.VMs[0].Name)
+		if err != nil || !now.placed(b.size*slicesPerNode, "") || now.Epoch != last.Epoch ||
+			now.Controller != last.Controller || now.Standby != last.Standby {
+			last, quiet = now, time.Now()
+		}
+		return time.Since(quiet) > quietTime
+	})
+	return last, errors.Wrap(err, "the cell does not settle")
+}
+
+func (b *bench) status(name string) (status, error) {
+	var s status
+	err := getJSON(b.fleet.AdminURL(name)+"/status", &s)
+	return s, err
+}
+
+// measureCell measures one size.
+func measureCell(o Options, size int, r *report) error {
+	b, err := openBench(o, cellOf(size))
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	time.Sleep(joinTime)
+	if _, err := b.apply(sheetOf(size, 1), 1); err != nil {
+		return err
+	}
+	s, err := b.settle()
+	if err != nil {
+		return err
+	}
+	for _, step := range []func(status) ([]figure, error){b.atRest, b.changeSheet, b.lose} {
+		figures, err := step(s)
+		if err != nil {
+			return err
+		}
+		for _, f := range figures {
+			if err := r.add(size, f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// sample is one reading of all sources.
+type sample struct {
+	at      time.Time
+	cpu     map[string]time.Duration
+	metrics nodeMetrics
+	calls   store.StatsMessage
+}
+
+func (b *bench) sample(controller string) (sample, error) {
+	s := sample{at: time.Now(), cpu: make(map[string]time.Duration)}
+	var err error
+	for name, p := range b.fleet.Nodes {
+		if s.cpu[name], err = cpuOf(p.PID()); err != nil {
+			return s, err
+		}
+	}
+	if s.metrics, err = metricsOf(b.fleet.AdminURL(controller)); err != nil {
+		return s, err
+	}
+	s.calls, err = storeCalls(b.fleet.StoreURL())
+	return s, err
+}
+
+// atRest measures a window in which nothing changes.
+func (b *bench) atRest(s status) ([]figure, error) {
+	before, err := b.sample(s.Controller)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(b.window)
+	after, err := b.sample(s.Controller)
+	if err != nil {
+		return nil, err
+	}
+	memory, err := b.memory(s)
+	if err != nil {
+		return nil, err
+	}
+	span := after.at.Sub(before.at).Seconds()
+	figures := b.cpuShares(s, before, after)
+	figures = append(figures,
+		figure{"controller-cell-bytes", (after.metrics.cell - before.metrics.cell) / span, "B/s"},
+		figure{"controller-account-bytes", (after.metrics.account - before.metrics.account) / span, "B/s"},
+		figure{"store-writes-at-rest", float64(after.calls.Puts-before.calls.Puts) / span, "1/s"},
+		figure{"store-reads-at-rest", float64(reads(after.calls)-reads(before.calls)) / span, "1/s"},
+	)
+	return append(figures, memory...), nil
+}
+
+// reads counts all calls that change nothing.
+func reads(s store.StatsMessage) int64 { return s.Gets + s.Lists + s.Polls }
+
+// cpuShares returns the shares of a core of the controller and, in the mean, of nodes that
+// are neither controller nor standby.
+func (b *bench) cpuShares(s status, before, after sample) []figure {
+	span := after.at.Sub(before.at).Seconds()
+	var plain, controller float64
+	var count int
+	for name, used := range after.cpu {
+		percent := 100 * (used - before.cpu[name]).Seconds() / span
+		switch name {
+		case s.Controller:
+			controller = percent
+		case s.Standby:
+		default:
+			plain += percent
+			count++
+		}
+	}
+	return []figure{
+		{"controller-cpu", controller, "%"},
+		{"plain-cpu", plain / float64(count), "%"},
+	}
+}
+
+// memory returns the resident memory of the controller and, in the mean, of plain nodes, and
+// the controller's heap.
+func (b *bench) memory(s status) ([]figure, error) {
+	var plain, controller float64
+	for name, p := range b.fleet.Nodes {
+		resident, err := residentOf(p.PID())
+		if err != nil {
+			return nil, err
+		}
+		switch name {
+		case s.Controller:
+			controller = resident
+		case s.Standby:
+		default:
+			plain += resident / float64(b.size-2)
+		}
+	}
+	m, err := metricsOf(b.fleet.AdminURL(s.Controller))
+	if err != nil {
+		return nil, err
+	}
+	return []figure{
+		{"controller-resident", controller / 1e6, "MB"},
+		{"plain-resident", plain / 1e6, "MB"},
+		{"controller-heap", m.heap / 1e6, "MB"},
+	}, nil
+}
+
+// changeSheet applies a second sheet.
+func (b *bench) changeSheet(status) ([]figure, error) {
+	took, err := b.apply(sheetOf(b.size, 2), 2)
+	return []figure{{"sheet-in-force", took.Seconds(), "s"}}, err
+}
+
+// lose kills a plain VM and counts the store's calls until its slices have other owners and
+// the cell has settled again.
+func (b *bench) lose(s status) ([]figure, error) {
+	lost, witness := b.victim(s)
+	before, err := storeCalls(b.fleet.StoreURL())
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	b.fleet.KillVM(lost)
+	err = fleet.Await(recoverLimit, func() bool {
+		now, err := b.status(witness)
+		return err == nil && now.placed(b.size*slicesPerNode, lost)
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "slices of %s", lost)
+	}
+	took := time.Since(began)
+	after, err := storeCalls(b.fleet.StoreURL())
+	if err != nil {
+		return nil, err
+	}
+	return []figure{
+		{"loss-reassigned", took.Seconds(), "s"},
+		{"loss-store-writes", float64(after.Puts - before.Puts), "calls"},
+		{"loss-store-reads", float64(reads(after) - reads(before)), "calls"},
+	}, nil
+}
+
+// victim returns a VM that is neither controller nor standby, and the controller's VM.
+func (b *bench) victim(s status) (lost, witness string) {
+	for _, vm := range b.fleet.VMs {
+		if vm.Name != s.Controller && vm.Name != s.Standby {
+			lost = vm.Name
+		}
+	}
+	return lost, s.Controller
+}
--- /dev/null
+++ b/standin/scale/fit.go
@@ -0,0 +1,28 @@
+package scale
+
+// line is value = fixed + slope * nodes.
+type line struct {
+	fixed, slope float64
+}
+
+// fit returns the line of least squares through the points; with fewer than two different
+// sizes the slope is zero.
+func fit(sizes, values []float64) line {
+	n := float64(len(sizes))
+	if n == 0 {
+		return line{}
+	}
+	var sumX, sumY, sumXX, sumXY float64
+	for i, x := range sizes {
+		sumX += x
+		sumY += values[i]
+		sumXX += x * x
+		sumXY += x * values[i]
+	}
+	spread := n*sumXX - sumX*sumX
+	if spread == 0 {
+		return line{fixed: sumY / n}
+	}
+	slope := (n*sumXY - sumX*sumY) / spread
+	return line{fixed: (sumY - slope*sumX) / n, slope: slope}
+}
--- /dev/null
+++ b/standin/scale/forward.go
@@ -0,0 +1,92 @@
+package scale
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/load"
+)
+
+const (
+	entryVM = "entry"
+	ownerVM = "owner"
+	// forwardRate and forwardTime give the number of requests; warmTime of load comes first.
+	forwardRate  = 2000
+	forwardTime  = 10 * time.Second
+	warmTime     = 3 * time.Second
+	forwardSlots = 64
+	forwardLimit = time.Second
+)
+
+// ErrNotAnswered reports forwarded requests that were not answered.
+var ErrNotAnswered = errors.New("requests were not answered")
+
+// measureForward sends a fixed number of requests through one entry node, whose VM has no
+// target, to the only owner, and prints the processor time of both nodes for each request.
+func measureForward(ctx context.Context, o Options, r *report) error {
+	b, err := openBench(o, []fleet.VM{
+		{
+			Name: ownerVM, Region: region, FailureDomain: "a", Slots: forwardSlots,
+			TargetArgs: []string{"--work", "default=1ms", "--queue", "1000"},
+		},
+		{Name: entryVM, Region: region, FailureDomain: "b", NoTarget: true},
+	})
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	time.Sleep(joinTime)
+	if _, err := b.apply(sheetOf(1, 0), 1); err != nil {
+		return err
+	}
+	if _, err := b.send(ctx, o, warmTime); err != nil {
+		return err
+	}
+	return b.forwarded(ctx, o, r)
+}
+
+func (b *bench) forwarded(ctx context.Context, o Options, r *report) error {
+	before, err := b.sample(entryVM)
+	if err != nil {
+		return err
+	}
+	tally, err := b.send(ctx, o, forwardTime)
+	if err != nil {
+		return err
+	}
+	after, err := b.sample(entryVM)
+	if err != nil {
+		return err
+	}
+	answered := float64(tally.Outcomes[load.Answered])
+	if answered < float64(tally.Sent)*99/100 {
+		return errors.Wrapf(ErrNotAnswered, "%v of %d", tally.Outcomes, tally.Sent)
+	}
+	for _, name := range []string{entryVM, ownerVM} {
+		micros := float64((after.cpu[name] - before.cpu[name]).Microseconds())
+		if err := r.add(b.size, figure{name + "-cpu", micros / answered, "us/request"}); err != nil {
+			return err
+		}
+	}
+	return r.add(b.size, figure{"forward-answered", answered, "requests"})
+}
+
+func (b *bench) send(ctx context.Context, o Options, d time.Duration) (load.Tally, error) {
+	const service = "booking"
+	result, err := load.Run(ctx, load.Plan{
+		Entries: []string{b.fleet.EntryURL(entryVM)},
+		Seed:    o.Seed,
+		Kinds: []load.Kind{{
+			Name: service, Service: service, Method: http.MethodPost, Share: 1, Deadline: load.Duration(forwardLimit),
+		}},
+		Phases: []load.Phase{{Name: "forwarded", Duration: load.Duration(d), Rate: forwardRate}},
+	})
+	if err != nil {
+		return load.Tally{}, err
+	}
+	return result.Phases[0].Kinds[service], ctx.Err()
+}
--- /dev/null
+++ b/standin/scale/read.go
@@ -0,0 +1,153 @@
+package scale
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/auburnrelay/auburnrelay/standin/store"
+)
+
+// ErrRead reports a source of figures that cannot be read.
+var ErrRead = errors.New("figure cannot be read")
+
+const (
+	// ticksPerSecond is the unit of processor times in /proc, fixed by Linux.
+	ticksPerSecond = 100
+	// userTimeField is the index of the user time in /proc/PID/stat after the name of the
+	// program; the system time follows.
+	userTimeField = 11
+	// residentField is the index of the resident pages in /proc/PID/statm.
+	residentField = 1
+	readTimeout   = 2 * time.Second
+)
+
+// parseCPU returns the user and system time in the text of /proc/PID/stat.
+func parseCPU(stat string) (time.Duration, error) {
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	if len(fields) < userTimeField+2 {
+		return 0, errors.Wrapf(ErrRead, "stat %q", stat)
+	}
+	user, err := strconv.ParseInt(fields[userTimeField], 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(ErrRead, "user time: %v", err)
+	}
+	system, err := strconv.ParseInt(fields[userTimeField+1], 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(ErrRead, "system time: %v", err)
+	}
+	return time.Duration(user+system) * time.Second / ticksPerSecond, nil
+}
+
+// parseResident returns the resident bytes in the text of /proc/PID/statm.
+func parseResident(statm string, pageBytes int) (float64, error) {
+	fields := strings.Fields(statm)
+	if len(fields) <= residentField {
+		return 0, errors.Wrapf(ErrRead, "statm %q", statm)
+	}
+	pages, err := strconv.ParseInt(fields[residentField], 10, 64)
+	if err != nil {
+		return 0, errors.Wrapf(ErrRead, "resident pages: %v", err)
+	}
+	return float64(pages) * float64(pageBytes), nil
+}
+
+// cpuOf returns the processor time that a process which the run started has used.
+func cpuOf(pid int) (time.Duration, error) {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	return parseCPU(string(text))
+}
+
+// residentOf returns the resident memory of a process which the run started, in bytes.
+func residentOf(pid int) (float64, error) {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/statm")
+	if err != nil {
+		return 0, errors.Wrap(err, "resident memory")
+	}
+	return parseResident(string(text), os.Getpagesize())
+}
+
+// loadAverage returns the machine's load average of one minute.
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	return first
+}
+
+func get(url string) (*http.Response, error) {
+	client := http.Client{Timeout: readTimeout}
+	resp, err := client.Get(url)
+	if err != nil {
+		return nil, errors.Wrapf(ErrRead, "%s: %v", url, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, errors.Wrapf(ErrRead, "%s: status %d", url, resp.StatusCode)
+	}
+	return resp, nil
+}
+
+func getJSON(url string, into any) error {
+	resp, err := get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), url)
+}
+
+// storeCalls returns the counts of the store stand-in.
+func storeCalls(url string) (store.StatsMessage, error) {
+	var s store.StatsMessage
+	err := getJSON(url+"/admin/stats", &s)
+	return s, err
+}
+
+// nodeMetrics are the figures taken from a node's own metrics.
+type nodeMetrics struct {
+	// cell and account are bytes of the two services, both ways.
+	cell, account float64
+	// heap is what the garbage collector holds as live or not yet swept, in bytes.
+	heap float64
+}
+
+func metricsOf(adminURL string) (nodeMetrics, error) {
+	resp, err := get(adminURL + "/metrics")
+	if err != nil {
+		return nodeMetrics{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return nodeMetrics{}, errors.Wrapf(ErrRead, "metrics: %v", err)
+	}
+	var m nodeMetrics
+	for _, metric := range families["auburnrelay_control_wire_bytes_total"].GetMetric() {
+		for _, label := range metric.GetLabel() {
+			switch label.GetValue() {
+			case "CellService":
+				m.cell += metric.GetCounter().GetValue()
+			case "AccountService":
+				m.account += metric.GetCounter().GetValue()
+			}
+		}
+	}
+	for _, metric := range families["go_memstats_heap_alloc_bytes"].GetMetric() {
+		m.heap = metric.GetGauge().GetValue()
+	}
+	return m, nil
+}
--- /dev/null
+++ b/standin/scale/scale.go
@@ -0,0 +1,184 @@
+// Package scale measures what the control of one cell costs at several sizes, with each
+// node as a process of its own and idle targets, and prints one line for each figure:
+//
+//	scale NAME nodes=N value UNIT load=LOADAVERAGE
+//
+// At the end it prints the line of least squares through each figure, and what one
+// forwarded request costs on the entry and the owner side. Processor times and resident
+// memory come from /proc, bytes from the nodes' metrics, calls from the store stand-in.
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+)
+
+const (
+	region = "near"
+	// slicesPerNode is the number of slices for each node at the designed size.
+	slicesPerNode = 64
+	// joinTime is the time for nodes and targets to be known before the sheet is applied.
+	joinTime     = 4 * time.Second
+	quietTime    = 3 * time.Second
+	settleLimit  = 60 * time.Second
+	inForceLimit = 20 * time.Second
+	recoverLimit = 20 * time.Second
+)
+
+// Options says what to measure.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Sizes are the numbers of nodes of the cell.
+	Sizes []int
+	// Window is the time measured at rest; a watch of the store waits 30 s.
+	Window time.Duration
+	// Forward measures the processor time of forwarded requests too.
+	Forward bool
+	// Seed seeds the load of forwarded requests.
+	Seed uint64
+	Out  io.Writer
+}
+
+// figure is one measured value.
+type figure struct {
+	name  string
+	value float64
+	unit  string
+}
+
+// report prints figures and keeps them for the fits.
+type report struct {
+	out    io.Writer
+	order  []string
+	units  map[string]string
+	sizes  map[string][]float64
+	values map[string][]float64
+}
+
+func newReport(out io.Writer) *report {
+	return &report{
+		out: out, units: make(map[string]string),
+		sizes: make(map[string][]float64), values: make(map[string][]float64),
+	}
+}
+
+func (r *report) add(nodes int, f figure) error {
+	if _, known := r.units[f.name]; !known {
+		r.order = append(r.order, f.name)
+	}
+	r.units[f.name] = f.unit
+	r.sizes[f.name] = append(r.sizes[f.name], float64(nodes))
+	r.values[f.name] = append(r.values[f.name], f.value)
+	_, err := fmt.Fprintf(r.out, "scale %s nodes=%d %.4g %s load=%s\n", f.name, nodes, f.value, f.unit, loadAverage())
+	return errors.Wrap(err, "print")
+}
+
+// printFits prints fixed part and slope of each figure measured at two sizes or more.
+func (r *report) printFits() error {
+	for _, name := range r.order {
+		if len(r.sizes[name]) < 2 {
+			continue
+		}
+		l := fit(r.sizes[name], r.values[name])
+		_, err := fmt.Fprintf(r.out, "scale fit %s = %.4g + %.4g * nodes, %s\n", name, l.fixed, l.slope, r.units[name])
+		if err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return nil
+}
+
+// Run measures every size in turn and prints.
+func Run(ctx context.Context, o Options) error {
+	r := newReport(o.Out)
+	for _, size := range o.Sizes {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if err := measureCell(o, size, r); err != nil {
+			return errors.Wrapf(err, "%d nodes", size)
+		}
+	}
+	if err := r.printFits(); err != nil {
+		return err
+	}
+	if !o.Forward {
+		return nil
+	}
+	return errors.Wrap(measureForward(ctx, o, r), "forwarded requests")
+}
+
+// bench is a running fleet of one cell.
+type bench struct {
+	fleet *fleet.Fleet
+	dir   string
+	size  int
+	// window is the time measured at rest.
+	window time.Duration
+}
+
+func openBench(o Options, vms []fleet.VM) (*bench, error) {
+	dir, err := os.MkdirTemp("", "auburnrelay-scale-")
+	if err != nil {
+		return nil, errors.Wrap(err, "folder of the run")
+	}
+	f, err := fleet.Start(fleet.Plan{Bin: o.Bin, Dir: dir, VMs: vms})
+	if err != nil {
+		_ = os.RemoveAll(dir)
+		return nil, err
+	}
+	return &bench{fleet: f, dir: dir, size: len(vms), window: o.Window}, nil
+}
+
+func (b *bench) close() {
+	b.fleet.KillAll()
+	_ = os.RemoveAll(b.dir)
+}
+
+func cellOf(size int) []fleet.VM {
+	vms := make([]fleet.VM, size)
+	for i := range vms {
+		vms[i] = fleet.VM{
+			Name: fmt.Sprintf("vm-%02d", i), Region: region,
+			FailureDomain: fmt.Sprintf("domain-%d", i%2), Slots: 6, ChecksFences: true,
+		}
+	}
+	return vms
+}
+
+// sheetOf returns a sheet with 64 slices for each node, and shared rows so that versions
+// differ.
+func sheetOf(size, sharedRows int) string {
+	text := "service,kind,from,to,region,cell,targets,slices\n" +
+		fmt.Sprintf("booking,keyed,,,%s,,,%d\n", region, size*slicesPerNode)
+	for i := range sharedRows {
+		text += fmt.Sprintf("manuals-%d,shared,,,%s,,,1\n", i, region)
+	}
+	return text
+}
+
+// apply applies a sheet and returns the time from the operator's call until the version is
+// in force on all nodes.
+func (b *bench) apply(text string, version int64) (time.Duration, error) {
+	path := filepath.Join(b.dir, fmt.Sprintf("sheet-%d.csv", version))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return 0, errors.Wrap(err, "write sheet")
+	}
+	began := time.Now()
+	if _, err := b.fleet.Relay("sheet", "apply", path); err != nil {
+		return 0, err
+	}
+	if _, err := b.fleet.InForce(version, inForceLimit); err != nil {
+		return 0, err
+	}
+	return time.Since(began), nil
+}
--- /dev/null
+++ b/standin/scale/scale_test.go
@@ -0,0 +1,105 @@
+package scale
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+func TestFit(t *testing.T) {
+	rows := []struct {
+		name          string
+		sizes, values []float64
+		want          line
+	}{
+		{"nothing", nil, nil, line{}},
+		{"one size", []float64{4, 4}, []float64{1, 3}, line{fixed: 2}},
+		{"on a line", []float64{4, 8, 16, 32}, []float64{15, 23, 39, 71}, line{fixed: 7, slope: 2}},
+		{"off a line", []float64{0, 1, 2}, []float64{0, 3, 0}, line{fixed: 1}},
+	}
+	for _, row := range rows {
+		got := fit(row.sizes, row.values)
+		if math.Abs(got.fixed-row.want.fixed) > 1e-9 || math.Abs(got.slope-row.want.slope) > 1e-9 {
+			t.Errorf("%s: %+v, want %+v", row.name, got, row.want)
+		}
+	}
+}
+
+func TestParseCPU(t *testing.T) {
+	// A program's name may hold spaces and parentheses.
+	const stat = "77 (a (b) c) S 1 2 3 4 5 6 7 8 9 10 250 50 13 14"
+	got, err := parseCPU(stat)
+	if err != nil || got != 3*time.Second {
+		t.Errorf("%v, %v", got, err)
+	}
+	for _, bad := range []string{"", "77 (x) S 1 2", strings.Replace(stat, "250", "x", 1)} {
+		if _, err := parseCPU(bad); !errors.Is(err, ErrRead) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
+func TestParseResident(t *testing.T) {
+	got, err := parseResident("900 100 50 1 0 60 0\n", 4096)
+	if err != nil || got != 409600 {
+		t.Errorf("%v, %v", got, err)
+	}
+	if _, err := parseResident("900", 4096); !errors.Is(err, ErrRead) {
+		t.Error(err)
+	}
+}
+
+func TestPlaced(t *testing.T) {
+	type owner = struct {
+		Owner  string `json:"owner"`
+		Moving bool   `json:"moving"`
+	}
+	whole := status{Controller: "a", Standby: "b", Owners: []owner{{Owner: "a"}, {Owner: "b"}}}
+	moving, lost, unowned, noStandby := whole, whole, whole, whole
+	moving.Owners = []owner{{Owner: "a"}, {Owner: "b", Moving: true}}
+	lost.Owners = []owner{{Owner: "a"}, {Owner: "c"}}
+	unowned.Owners = []owner{{Owner: "a"}, {}}
+	noStandby.Standby = ""
+	for name, row := range map[string]struct {
+		s      status
+		slices int
+		want   bool
+	}{
+		"whole": {whole, 2, true}, "too few": {whole, 3, false}, "moving": {moving, 2, false},
+		"lost": {lost, 2, false}, "unowned": {unowned, 2, false}, "no standby": {noStandby, 2, false},
+	} {
+		if row.s.placed(row.slices, "c") != row.want {
+			t.Errorf("%s: want %v", name, row.want)
+		}
+	}
+}
+
+func TestReportPrintsFits(t *testing.T) {
+	var out bytes.Buffer
+	r := newReport(&out)
+	for _, f := range []struct {
+		nodes int
+		value float64
+	}{{4, 15}, {8, 23}} {
+		if err := r.add(f.nodes, figure{"bytes", f.value, "B/s"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.add(2, figure{"once", 1, "s"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.printFits(); err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	if !strings.HasPrefix(text, "scale bytes nodes=4 15 B/s load=") {
+		t.Error(text)
+	}
+	if !strings.HasSuffix(text, "scale fit bytes = 7 + 2 * nodes, B/s\n") || strings.Contains(text, "fit once") {
+		t.Error(text)
+	}
+}
