Keep owners in other cells in a compact, bounded table of the designed size

Cause: an entry node at the designed size needs the owners of 167,000 slices; the table held 4096 whole peers and then forgot all.

Guards broken: either bound removed: TestLearnedIsBounded red. Report kept in the identity, identity cut to the name, forget emptied: TestLearnedReplacesAndForgets red. Bound back at 4096: TestLearnedHoldsTheDesignedSize red.

--- /dev/null
+++ b/node/control/learned_test.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/node/plane"
+)
+
+// The designed size: cells of other nodes, and all their slices.
+const (
+	designedCells  = 109
+	designedNodes  = 2600
+	designedSlices = 167_000
+)
+
+func learnedPeer(i int) plane.Peer {
+	return plane.Peer{
+		Name: fmt.Sprintf("vm-%04d", i), Incarnation: 1_700_000_000_000_000_000 + uint64(i),
+		Address:      fmt.Sprintf("10.0.%d.%d:7002", i/256, i%256),
+		EntryAddress: fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256),
+		AdminAddress: fmt.Sprintf("10.0.%d.%d:7004", i/256, i%256),
+		Region:       fmt.Sprintf("region-%d", i%3), FailureDomain: fmt.Sprintf("domain-%d", i%6),
+		Cell:   fmt.Sprintf("cell-%03d", i%designedCells),
+		Target: plane.TargetReport{State: plane.TargetReady, Incarnation: uint64(i), Slots: 6},
+	}
+}
+
+func learnedSlice(i int) keyspace.SliceID {
+	return keyspace.SliceID{Range: keyspace.RangeID(1 + i%designedCells), Index: uint32(i / designedCells)}
+}
+
+func TestLearnedHoldsTheDesignedSize(t *testing.T) {
+	var l learned
+	for i := range designedSlices {
+		l.set(learnedSlice(i), learnedPeer(i%designedNodes))
+	}
+	for i := range designedSlices {
+		if got, want := l.owner(learnedSlice(i)), learnedPeer(i%designedNodes); got != want {
+			t.Fatalf("slice %d: %+v, want %+v", i, got, want)
+		}
+	}
+}
+
+func TestLearnedReplacesAndForgets(t *testing.T) {
+	var l learned
+	l.forget(learnedSlice(1))
+	old, restarted, elsewhere := learnedPeer(1), learnedPeer(1), learnedPeer(2)
+	restarted.Incarnation++
+	l.set(learnedSlice(1), old)
+	l.set(learnedSlice(2), restarted)
+	l.set(learnedSlice(3), elsewhere)
+	if got := l.owner(learnedSlice(1)); got != old {
+		t.Errorf("a restart elsewhere changed the owner: %+v", got)
+	}
+	newer := old
+	newer.Target.InFlight = 5
+	l.set(learnedSlice(4), newer)
+	if got := l.owner(learnedSlice(1)); got != newer || len(l.nodes) != 3 {
+		t.Errorf("%+v, %d nodes; a report must not make another node", got, len(l.nodes))
+	}
+	l.set(learnedSlice(1), elsewhere)
+	if got := l.owner(learnedSlice(1)); got != elsewhere {
+		t.Errorf("not replaced: %+v", got)
+	}
+	l.forget(learnedSlice(1))
+	if got := l.owner(learnedSlice(1)); got.Name != "" {
+		t.Errorf("not forgotten: %+v", got)
+	}
+}
+
+func TestLearnedIsBounded(t *testing.T) {
+	var l learned
+	for i := range learnedMax + 10 {
+		l.set(learnedSlice(i), learnedPeer(1))
+		if len(l.owners) > learnedMax {
+			t.Fatalf("%d slices", len(l.owners))
+		}
+	}
+	for i := range learnedNodesMax + 10 {
+		l.set(learnedSlice(1), learnedPeer(i))
+		if len(l.nodes) > learnedNodesMax || len(l.numbers) > learnedNodesMax {
+			t.Fatalf("%d nodes", len(l.nodes))
+		}
+	}
+	if got := l.owner(learnedSlice(1)); got != learnedPeer(learnedNodesMax+9) {
+		t.Errorf("the newest owner is lost: %+v", got)
+	}
+}
+
+// BenchmarkLearned reports the memory of the owners of all slices at the designed size; the
+// nodes' own entries are in it.
+func BenchmarkLearned(b *testing.B) {
+	peers := make([]plane.Peer, designedNodes)
+	for i := range peers {
+		peers[i] = learnedPeer(i)
+	}
+	for b.Loop() {
+		before := heapBytes()
+		l := &learned{}
+		for i := range designedSlices {
+			l.set(learnedSlice(i), peers[i%designedNodes])
+		}
+		b.ReportMetric((heapBytes()-before)/designedSlices, "B/slice")
+		runtime.KeepAlive(l)
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/node/control/router.go
+++ b/node/control/router.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"sync"
-
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
@@ -126,35 +124,14 @@
 	return out
 }
 
-// learnedMax bounds the owners of other cells that redirects have named.
-const learnedMax = 4096
-
-// learned remembers owners in other cells.
-type learned struct {
-	mu     sync.Mutex
-	owners map[keyspace.SliceID]plane.Peer
-}
-
-func (l *learned) owner(id keyspace.SliceID) plane.Peer {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.owners[id]
-}
-
 // Learn implements plane.Router.
 func (c *Control) Learn(slice keyspace.SliceID, owner plane.Peer) {
 	if owner.Cell == c.cfg.Cell {
 		return
 	}
-	l := &c.learned
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.owners == nil || len(l.owners) >= learnedMax {
-		l.owners = make(map[keyspace.SliceID]plane.Peer)
-	}
 	if owner.Name == "" {
-		delete(l.owners, slice)
+		c.learned.forget(slice)
 		return
 	}
-	l.owners[slice] = owner
+	c.learned.set(slice, owner)
 }
