Wait for the cell by its controller's status, and prove the byte counter

Cause: the run took a node's status that is neither controller nor standby, which does not name the standby, and waited for 60 s: seen as 'the cell does not settle: controller vm-02, standby "", epoch 1, 256 slices, 2788 changes'. It now asks the controller itself.

TestCellCountsItsBytes: with the handler taken from the dialled connections it goes red.

--- a/node/control/wirebytes_test.go
+++ b/node/control/wirebytes_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"google.golang.org/grpc/stats"
+
+	"github.com/auburnrelay/auburnrelay/platform/memstore"
 )
 
 // TestWireBytes demands that each part of an exchange counts once, under its service.
@@ -25,3 +28,24 @@
 		}
 	}
 }
+
+// TestCellCountsItsBytes demands that nodes of a running cell count what they send and what
+// comes back over the connections that they dial.
+func TestCellCountsItsBytes(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	nodes := startCell(t, store)
+	for _, n := range nodes {
+		defer n.kill()
+	}
+	plain := nodes[0].control
+	for _, n := range nodes {
+		if !n.control.Status().IsController {
+			plain = n.control
+		}
+	}
+	for _, direction := range []string{received, sent} {
+		counter := plain.metrics.bytes.WithLabelValues("CellService", direction)
+		waitFor(t, "bytes "+direction, 5*time.Second, func() bool { return testutil.ToFloat64(counter) > 0 })
+	}
+}
--- a/standin/scale/cell.go
+++ b/standin/scale/cell.go
@@ -36,16 +36,35 @@
 // settle waits until the cell's record and placement have not changed for quietTime.
 func (b *bench) settle() (status, error) {
 	var last status
+	var readErr error
+	changes := 0
 	quiet := time.Now()
 	err := fleet.Await(settleLimit, func() bool {
-		now, err := b.status(b.fleet.VMs[0].Name)
-		if err != nil || !now.placed(b.size*slicesPerNode, "") || now.Epoch != last.Epoch ||
-			now.Controller != last.Controller || now.Standby != last.Standby {
+		var now status
+		now, readErr = b.controllerStatus()
+		if readErr != nil || !now.placed(b.size*slicesPerNode, "") || now.changed(last) {
 			last, quiet = now, time.Now()
+			changes++
 		}
 		return time.Since(quiet) > quietTime
 	})
-	return last, errors.Wrap(err, "the cell does not settle")
+	return last, errors.Wrapf(err, "the cell does not settle: controller %q, standby %q, epoch %d, %d slices, %d changes, last read %v",
+		last.Controller, last.Standby, last.Epoch, len(last.Owners), changes, readErr)
+}
+
+// changed reports whether the cell's record differs from the former.
+func (s status) changed(former status) bool {
+	return s.Epoch != former.Epoch || s.Controller != former.Controller || s.Standby != former.Standby
+}
+
+// controllerStatus returns what the controller itself says; other nodes do not know the
+// standby.
+func (b *bench) controllerStatus() (status, error) {
+	s, err := b.status(b.fleet.VMs[0].Name)
+	if err != nil || s.Controller == "" {
+		return s, err
+	}
+	return b.status(s.Controller)
 }
 
 func (b *bench) status(name string) (status, error) {
