Count bytes of known services only, with counters found once

Cause: the handler looked up labels for each message, on the way of forwarded requests too, and took any service name that a peer sends as a label. TestWireBytes has made-up services; they are counted as other.

--- a/node/control/wirebytes.go
+++ b/node/control/wirebytes.go
@@ -5,14 +5,25 @@
 	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/stats"
+
+	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
 )
 
 // wireBytes counts the bytes of gRPC messages and received header fields by service and
 // direction. It is a stats.Handler. Frame headers of HTTP/2, sent header fields, TCP and IP
 // headers are not in it.
 type wireBytes struct {
-	bytes *prometheus.CounterVec
+	// services holds the counters by full service name and is not changed.
+	services map[string]*serviceBytes
+	// other counts calls of services that nodes do not offer.
+	other *serviceBytes
+}
+
+// serviceBytes are the counters of one service.
+type serviceBytes struct {
+	received, sent prometheus.Counter
 }
 
 // Directions of counted bytes.
@@ -23,37 +34,56 @@
 
 type serviceKey struct{}
 
-// StatsHandler returns the counter of message bytes for the node's gRPC server.
-func (c *Control) StatsHandler() stats.Handler { return wireBytes{bytes: c.metrics.bytes} }
+// StatsHandler returns a counter of message bytes for a gRPC server or connection.
+func (c *Control) StatsHandler() stats.Handler { return newWireBytes(c.metrics.bytes) }
 
-// TagRPC implements stats.Handler.
-func (wireBytes) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
-	return context.WithValue(ctx, serviceKey{}, rpcService(info.FullMethodName))
+func newWireBytes(bytes *prometheus.CounterVec) *wireBytes {
+	count := func(service string) *serviceBytes {
+		return &serviceBytes{
+			received: bytes.WithLabelValues(service, received),
+			sent:     bytes.WithLabelValues(service, sent),
+		}
+	}
+	w := &wireBytes{services: make(map[string]*serviceBytes), other: count("other")}
+	for _, desc := range []grpc.ServiceDesc{
+		pb.CellService_ServiceDesc, pb.AccountService_ServiceDesc, pb.QuarantineService_ServiceDesc, pb.RelayService_ServiceDesc,
+	} {
+		name := desc.ServiceName
+		w.services[name] = count(name[strings.LastIndexByte(name, '.')+1:])
+	}
+	return w
 }
 
-// rpcService returns the service's own name in "/package.Service/Method".
-func rpcService(method string) string {
-	service, _, _ := strings.Cut(strings.TrimPrefix(method, "/"), "/")
-	return service[strings.LastIndexByte(service, '.')+1:]
+// TagRPC implements stats.Handler.
+func (w *wireBytes) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	service, _, _ := strings.Cut(strings.TrimPrefix(info.FullMethodName, "/"), "/")
+	counters, known := w.services[service]
+	if !known {
+		counters = w.other
+	}
+	return context.WithValue(ctx, serviceKey{}, counters)
 }
 
 // HandleRPC implements stats.Handler.
-func (w wireBytes) HandleRPC(ctx context.Context, s stats.RPCStats) {
-	service, _ := ctx.Value(serviceKey{}).(string)
+func (w *wireBytes) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	counters, tagged := ctx.Value(serviceKey{}).(*serviceBytes)
+	if !tagged {
+		return
+	}
 	switch s := s.(type) {
 	case *stats.InPayload:
-		w.bytes.WithLabelValues(service, received).Add(float64(s.WireLength))
+		counters.received.Add(float64(s.WireLength))
 	case *stats.InHeader:
-		w.bytes.WithLabelValues(service, received).Add(float64(s.WireLength))
+		counters.received.Add(float64(s.WireLength))
 	case *stats.InTrailer:
-		w.bytes.WithLabelValues(service, received).Add(float64(s.WireLength))
+		counters.received.Add(float64(s.WireLength))
 	case *stats.OutPayload:
-		w.bytes.WithLabelValues(service, sent).Add(float64(s.WireLength))
+		counters.sent.Add(float64(s.WireLength))
 	}
 }
 
 // TagConn implements stats.Handler.
-func (wireBytes) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (*wireBytes) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
 
 // HandleConn implements stats.Handler.
-func (wireBytes) HandleConn(context.Context, stats.ConnStats) {}
+func (*wireBytes) HandleConn(context.Context, stats.ConnStats) {}
--- a/node/control/wirebytes_test.go
+++ b/node/control/wirebytes_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 // TestWireBytes demands that each part of an exchange counts once, under its service.
 func TestWireBytes(t *testing.T) {
 	m := newMetrics(prometheus.NewRegistry())
-	w := wireBytes{bytes: m.bytes}
+	w := newWireBytes(m.bytes)
 	ctx := w.TagRPC(t.Context(), &stats.RPCTagInfo{FullMethodName: "/auburnrelay.v1.CellService/Heartbeat"})
 	for _, s := range []stats.RPCStats{
 		&stats.Begin{}, &stats.InHeader{WireLength: 7}, &stats.InPayload{WireLength: 100},
@@ -22,6 +23,14 @@
 	} {
 		w.HandleRPC(ctx, s)
 	}
+	// Names that a peer makes up must not grow the metric.
+	for i := range 3 {
+		made := w.TagRPC(t.Context(), &stats.RPCTagInfo{FullMethodName: fmt.Sprintf("/x.Made%d/Up", i)})
+		w.HandleRPC(made, &stats.InPayload{WireLength: 1})
+	}
+	if got := testutil.ToFloat64(m.bytes.WithLabelValues("other", received)); got != 3 {
+		t.Errorf("other services: %v bytes, want 3", got)
+	}
 	for direction, want := range map[string]float64{received: 109, sent: 30} {
 		if got := testutil.ToFloat64(m.bytes.WithLabelValues("CellService", direction)); got != want {
 			t.Errorf("%s: %v bytes, want %v", direction, got, want)
