--- a/standin/scale/scale_test.go
+++ b/standin/scale/scale_test.go
@@ -23,12 +23,15 @@
 	}
 	for _, row := range rows {
 		got := fit(row.sizes, row.values)
-		if math.Abs(got.fixed-row.want.fixed) > 1e-9 || math.Abs(got.slope-row.want.slope) > 1e-9 {
+		if !near(got.fixed, row.want.fixed) || !near(got.slope, row.want.slope) {
 			t.Errorf("%s: %+v, want %+v", row.name, got, row.want)
 		}
 	}
 }
 
+// near is false for what is not a number.
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-9 }
+
 func TestParseCPU(t *testing.T) {
 	// A program's name may hold spaces and parentheses.
 	const stat = "77 (a (b) c) S 1 2 3 4 5 6 7 8 9 10 250 50 13 14"
