--- a/core/cell/events.go
+++ b/core/cell/events.go
@@ -84,9 +84,13 @@
 // SliceDrained tells that nothing of a drained slice runs any more.
 type SliceDrained struct {
 	Slice  keyspace.SliceID
+	Number uint64
 	Window []byte
 }
 
+// SlicesAbandoned tells that slices were given up as AbandonSlices asked.
+type SlicesAbandoned struct{ Slices []keyspace.SliceID }
+
 // PeerGone tells that the process is known to have ended: its VM refused the connection or
 // its address answered under another incarnation.
 type PeerGone struct{ Node Node }
@@ -118,6 +122,7 @@
 func (CellsRead) event()         {}
 func (TargetReported) event()    {}
 func (SliceDrained) event()      {}
+func (SlicesAbandoned) event()   {}
 func (PeerGone) event()          {}
 func (TargetGone) event()        {}
 func (ClockJumped) event()       {}
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -149,6 +149,8 @@
 		m.targetReported(e)
 	case SliceDrained:
 		m.sliceDrained(e)
+	case SlicesAbandoned:
+		m.slicesAbandoned(e)
 	case PeerGone:
 		m.peerGone(e.Node)
 	case TargetGone:
@@ -171,6 +173,7 @@
 func (m *Machine) tick() {
 	m.leaveUnheard()
 	m.holderTick()
+	m.abandonTick()
 	m.readTick()
 	m.standbyTick()
 	m.controllerTick()
