--- a/core/capacity/rows.go
+++ b/core/capacity/rows.go
@@ -8,6 +8,8 @@
 	nodeBytesBudget  = 21_000
 	nodeCPUBudget    = 2.2
 	nodeMemoryBudget = 64
+	// sheetBudget is the time until a sheet is in force on all nodes, in seconds.
+	sheetBudget = 9
 	// storeWriteBudget and storeReadBudget are the store's rates, in calls a second.
 	storeWriteBudget = 300
 	storeReadBudget  = 2000
@@ -75,6 +77,9 @@
 	t.add("entry", "route table", "MB", nodeMemoryBudget, []string{"route_bytes_per_slice"}, func(of func(string) float64) float64 {
 		return s.Nodes * s.SlicesPerNode * of("route_bytes_per_slice") / 1e6
 	})
+	t.add("node", "memory, at rest, with the route table", "MB", nodeMemoryBudget, []string{"plain_memory_mb", "route_bytes_per_slice"}, func(of func(string) float64) float64 {
+		return of("plain_memory_mb") + s.Nodes*s.SlicesPerNode*of("route_bytes_per_slice")/1e6
+	})
 	t.add("node", "account reports", "B/s", 0, []string{"report_bytes_fixed", "report_bytes_per_line"}, func(of func(string) float64) float64 {
 		return (of("report_bytes_fixed") + s.LinesPerNode*of("report_bytes_per_line")) / s.ReportSeconds
 	})
@@ -106,9 +111,12 @@
 		lines := s.LinesPerNode * s.NodesPerCell
 		return (of("segment_bytes_fixed") + lines*of("segment_bytes_per_line") + s.NodesPerCell*of("segment_bytes_per_process")) / 1000
 	})
-	t.add("sheet", "time until it is in force everywhere", "s", 9, []string{"sheet_seconds"}, func(of func(string) float64) float64 {
+	t.add("sheet", "time until it is in force in one cell", "s", sheetBudget, []string{"sheet_seconds"}, func(of func(string) float64) float64 {
 		return of("sheet_seconds")
 	})
+	t.add("sheet", "time until it is in force in all cells", "s", sheetBudget, []string{"sheet_seconds_all_cells"}, func(of func(string) float64) float64 {
+		return of("sheet_seconds_all_cells")
+	})
 }
 
 func (t *table) addStore(s Size) {
