--- /dev/null
+++ b/node/control/wirebytes.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"context"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
+
+	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
+)
+
+// wireBytes counts the bytes of gRPC messages and received header fields by service and
+// direction. It is a stats.Handler. Frame headers of HTTP/2, sent header fields, TCP and IP
+// headers are not in it.
+type wireBytes struct {
+	// services holds the counters by full service name and is not changed.
+	services map[string]*serviceBytes
+	// other counts calls of services that nodes do not offer.
+	other *serviceBytes
+}
+
+// serviceBytes are the counters of one service.
+type serviceBytes struct {
+	received, sent prometheus.Counter
+}
+
+// Directions of counted bytes.
+const (
+	received = "received"
+	sent     = "sent"
+)
+
+type serviceKey struct{}
+
+// StatsHandler returns a counter of message bytes for a gRPC server or connection.
+func (c *Control) StatsHandler() stats.Handler { return newWireBytes(c.metrics.bytes) }
+
+func newWireBytes(bytes *prometheus.CounterVec) *wireBytes {
+	count := func(service string) *serviceBytes {
+		return &serviceBytes{
+			received: bytes.WithLabelValues(service, received),
+			sent:     bytes.WithLabelValues(service, sent),
+		}
+	}
+	w := &wireBytes{services: make(map[string]*serviceBytes), other: count("other")}
+	for _, desc := range []grpc.ServiceDesc{
+		pb.CellService_ServiceDesc, pb.AccountService_ServiceDesc, pb.QuarantineService_ServiceDesc, pb.RelayService_ServiceDesc,
+	} {
+		name := desc.ServiceName
+		w.services[name] = count(name[strings.LastIndexByte(name, '.')+1:])
+	}
+	return w
+}
+
+// TagRPC implements stats.Handler.
+func (w *wireBytes) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	service, _, _ := strings.Cut(strings.TrimPrefix(info.FullMethodName, "/"), "/")
+	counters, known := w.services[service]
+	if !known {
+		counters = w.other
+	}
+	return context.WithValue(ctx, serviceKey{}, counters)
+}
+
+// HandleRPC implements stats.Handler.
+func (w *wireBytes) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	counters, tagged := ctx.Value(serviceKey{}).(*serviceBytes)
+	if !tagged {
+		return
+	}
+	switch s := s.(type) {
+	case *stats.InPayload:
+		counters.received.Add(float64(s.WireLength))
+	case *stats.InHeader:
+		counters.received.Add(float64(s.WireLength))
+	case *stats.InTrailer:
+		counters.received.Add(float64(s.WireLength))
+	case *stats.OutPayload:
+		counters.sent.Add(float64(s.WireLength))
+	}
+}
+
+// TagConn implements stats.Handler.
+func (*wireBytes) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (*wireBytes) HandleConn(context.Context, stats.ConnStats) {}
