Ask callers to close their connections before a stop

Cause suspected, not proved: in TestRollingReplacement a probe's connection broke while a node stopped (2 of 6 runs); a server that shuts down closes idle connections, and a caller may be sending its next request on one just then. From the first signal on, answers now carry 'Connection: close', and the listener stays open for a second at least. The test of the entry was red without the header.

--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -297,3 +297,27 @@
 		t.Error("a line has no reason")
 	}
 }
+
+// TestAnswersCloseConnectionsBeforeAStop lets a stopping node answer: the caller must not send
+// its next request on a connection that the stop is about to close.
+func TestAnswersCloseConnectionsBeforeAStop(t *testing.T) {
+	s := &script{kind: keyspace.Keyed, owners: []plane.Peer{self}, ends: []forward.Reply{answered()}}
+	log := slog.New(slog.DiscardHandler)
+	parts := Parts{Router: s, Local: s, Remote: s, Chooser: s, Budget: s, Ledger: s, Log: log}
+	handler := NewHandler(NewDispatcher(DispatchConfig{}, parts), Limits{KeyBytes: 32, DefaultDeadline: time.Second}, log)
+	server := httptest.NewServer(handler.NewServer(4096).Handler)
+	defer server.Close()
+	for _, closing := range []bool{false, true} {
+		if closing {
+			handler.CloseConnections()
+		}
+		resp, err := http.Get(server.URL + "/v1/booking/k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(resp.Body)
+		if resp.Close != closing {
+			t.Errorf("closing %v: the answer asks to close: %v", closing, resp.Close)
+		}
+	}
+}
--- a/node/entry/http.go
+++ b/node/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,7 @@
 	dispatcher *Dispatcher
 	limits     Limits
 	log        *slog.Logger
+	closing    atomic.Bool
 }
 
 // NewHandler returns the interface over a dispatcher.
@@ -38,6 +40,10 @@
 	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: headerBytes}
 }
 
+// CloseConnections makes each further answer ask its caller to close the connection. A server
+// that then shuts down finds no connection on which a caller is just sending a request.
+func (h *Handler) CloseConnections() { h.closing.Store(true) }
+
 func unknownPath(_ error, c echo.Context) {
 	answer := &httpAnswer{w: c.Response()}
 	answer.refuse(http.StatusNotFound, plane.Result{Outcome: outcome.NotRun, Reason: outcome.ReasonBadRequest}, ErrBadPath.Error())
@@ -45,6 +51,9 @@
 
 func (h *Handler) handle(c echo.Context) error {
 	answer := &httpAnswer{w: c.Response()}
+	if h.closing.Load() {
+		c.Response().Header().Set("Connection", "close")
+	}
 	request, err := readRequest(c.Request(), h.limits, time.Now())
 	if err != nil {
 		h.log.Info("request refused", "path", c.Request().URL.Path, "reason", err.Error())
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	pool      *forward.Pool
 	ledger    *ledger.Ledger
 	dispatch  *entry.Dispatcher
+	callers   *entry.Handler
 	entry     *http.Server
 	admin     *http.Server
 	local     *http.Server
@@ -180,7 +181,8 @@
 		DefaultDeadline: min(defaultDeadline, s.Limits.MaxDeadline.Std()),
 		MaxDeadline:     s.Limits.MaxDeadline.Std(),
 	}
-	n.entry = entry.NewHandler(n.dispatch, limits, n.log.With("part", "entry")).NewServer(s.Limits.HeaderBytes)
+	n.callers = entry.NewHandler(n.dispatch, limits, n.log.With("part", "entry"))
+	n.entry = n.callers.NewServer(s.Limits.HeaderBytes)
 	return nil
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -20,6 +20,10 @@
 // shutdownWait bounds the wait for callers' connections after the keys were handed over.
 const shutdownWait = 5 * time.Second
 
+// closingWait is the least time between asking callers to close their connections and closing
+// the listener.
+const closingWait = time.Second
+
 // Run serves until the context ends, a part fails, or a signal asks for a stop. A first
 // SIGTERM or SIGINT hands the node's keys over and finishes what is in flight; a second one
 // ends Run at once with ErrForced.
@@ -61,7 +65,13 @@
 		case s := <-signals:
 			n.log.Info("stopping: handing the keys over", "reason", s.String())
 		}
-		return n.leave(ctx, signals)
+		n.callers.CloseConnections()
+		began := time.Now()
+		err := n.leave(ctx, signals)
+		if errors.Is(err, errStopped) {
+			time.Sleep(closingWait - time.Since(began))
+		}
+		return err
 	}
 	interrupt := func(error) {
 		signal.Stop(signals)
