Draw a node's store calls on its budget; count callers' requests; test the client library

The node used the bare store client, so store.calls_per_second, call_burst and request_timeout had no effect. Now the account and the sharing of bans draw on what the control side leaves (half of the burst), the burst is 60 and the rate 10/s.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,169 @@
+package client
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+)
+
+// TestOutcomes lets a node end requests in every way and checks what the caller gets.
+func TestOutcomes(t *testing.T) {
+	refuse := func(status int, outcome, reason string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, outcome)
+			w.Header().Set(headerReason, reason)
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(status)
+		}
+	}
+	cases := []struct {
+		name    string
+		node    http.HandlerFunc
+		outcome Outcome
+		reason  string
+		body    string
+		cut     bool
+	}{
+		{"answered", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, "answered")
+			_, _ = io.WriteString(w, "whole")
+		}, Answered, "", "whole", false},
+		{"streamed", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", headerOutcome)
+			_, _ = io.WriteString(w, "streamed")
+			_ = http.NewResponseController(w).Flush()
+			w.Header().Set(headerOutcome, "answered")
+		}, Answered, "", "streamed", false},
+		{"streamed, then cut", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", headerOutcome)
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, Answered, "", "half", true},
+		{"ended without its outcome", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", headerOutcome)
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+		}, Answered, "", "half", true},
+		{"cut before its length", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, "answered")
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, Answered, "", "half", true},
+		{"not run", refuse(503, "not-run", "shed"), NotRun, "shed", "", false},
+		{"unknown", refuse(504, "unknown", "peer-lost"), Unknown, "peer-lost", "", false},
+		{"no outcome at all", refuse(502, "", ""), Unknown, "", "", false},
+		{"connection broken", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+			Unknown, "connection-lost", "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			node := httptest.NewServer(c.node)
+			defer node.Close()
+			answer := do(t, newClient(t, node.URL), Request{Method: "POST", Service: "booking", Key: "bay/7"})
+			if answer.Outcome != c.outcome || answer.Reason != c.reason {
+				t.Fatalf("got %v %q, want %v %q", answer.Outcome, answer.Reason, c.outcome, c.reason)
+			}
+			if answer.Body == nil {
+				return
+			}
+			defer answer.Body.Close()
+			body, err := io.ReadAll(answer.Body)
+			if string(body) != c.body || errors.Is(err, ErrTruncated) != c.cut {
+				t.Errorf("got %q, %v", body, err)
+			}
+		})
+	}
+}
+
+func newClient(t *testing.T, entries ...string) *Client {
+	t.Helper()
+	c, err := New(Config{Entries: entries, Deadline: 5 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func do(t *testing.T, c *Client, r Request) *Answer {
+	t.Helper()
+	answer, err := c.Do(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer
+}
+
+// TestUnreachableIsNotRun sends to a port that nobody listens on.
+func TestUnreachableIsNotRun(t *testing.T) {
+	answer := do(t, newClient(t, "http://127.0.0.1:1"), Request{Method: "POST", Service: "booking", Key: "k"})
+	if answer.Outcome != NotRun || answer.Err == nil {
+		t.Errorf("got %v, %v", answer.Outcome, answer.Err)
+	}
+}
+
+// TestOwnerIsLearnedAndForgotten follows the owner that an answer names, and goes back to an
+// entry when the owner refuses.
+func TestOwnerIsLearnedAndForgotten(t *testing.T) {
+	var asked []string
+	owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked = append(asked, "owner")
+		w.Header().Set(headerOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer owner.Close()
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked = append(asked, "entry")
+		w.Header().Set(headerOutcome, "answered")
+		w.Header().Set(headerOwner, strings.TrimPrefix(owner.URL, "http://"))
+	}))
+	defer entry.Close()
+	c := newClient(t, entry.URL)
+	for range 3 {
+		if answer := do(t, c, Request{Method: "GET", Service: "booking", Key: "k"}); answer.Body != nil {
+			answer.Body.Close()
+		}
+	}
+	if got := strings.Join(asked, " "); got != "entry owner entry" {
+		t.Errorf("asked %s", got)
+	}
+}
+
+// TestSendsAreCounted marks a first send; a request that brings its id was sent before.
+func TestSendsAreCounted(t *testing.T) {
+	var sends []string
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sends = append(sends, r.Header.Get(headerSend)+" "+r.URL.EscapedPath())
+		if _, err := ulid.ParseStrict(r.Header.Get(headerRequestID)); err != nil {
+			t.Errorf("request id: %v", err)
+		}
+		w.Header().Set(headerOutcome, "unknown")
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}))
+	defer node.Close()
+	c := newClient(t, node.URL)
+	r := Request{Method: "POST", Service: "booking", Key: "bay/7"}
+	r.ID = do(t, c, r).ID
+	do(t, c, r)
+	if len(sends) != 2 || sends[0] != "1 /v1/booking/bay%2F7" || sends[1] != " /v1/booking/bay%2F7" {
+		t.Errorf("sends %q", sends)
+	}
+}
+
+func TestBadRequestsAreErrors(t *testing.T) {
+	if _, err := New(Config{}); !errors.Is(err, ErrNoEntries) {
+		t.Errorf("no entries: %v", err)
+	}
+	if _, err := newClient(t, "http://127.0.0.1:1").Do(context.Background(), Request{Key: "k"}); !errors.Is(err, ErrBadRequest) {
+		t.Errorf("no service: %v", err)
+	}
+}
--- a/core/capacity/rows.go
+++ b/core/capacity/rows.go
@@ -18,7 +18,7 @@
 	// cells' records, the planned stops.
 	watchesPerController = 3
 	// watchSeconds is how long a watch waits.
-	watchSeconds = 30
+	watchSeconds = 5
 	// recordWritesPerRestart is the number of writes of a record for one node's restart: it
 	// leaves, joins, and its slices move back.
 	recordWritesPerRestart = 4
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -4,21 +4,40 @@
 	"context"
 	"log/slog"
 	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/auburnrelay/auburnrelay/node/settings"
+	"github.com/auburnrelay/auburnrelay/platform/client"
 	"github.com/auburnrelay/auburnrelay/platform/httpstore"
 )
 
 // Run provisions a node over the store that its settings name and runs it.
 func Run(ctx context.Context, s *settings.Settings) error {
-	store := httpstore.New(s.Store.URL, httpstore.Options{PollWait: s.Store.WatchWait.Std()})
-	n, err := Provision(s, store, newLogger(s.Log))
+	registry := prometheus.NewRegistry()
+	n, err := Provision(s, openStore(s.Store, registry), registry, newLogger(s.Log))
 	if err != nil {
 		return err
 	}
 	return n.Run(ctx)
 }
 
+// pollMargin is how much longer than the store's wait a poll may take.
+const pollMargin = 2 * time.Second
+
+// openStore returns the client of the object store, with the call budget of the settings.
+func openStore(s settings.Store, registry prometheus.Registerer) *client.Client {
+	store := httpstore.New(s.URL, httpstore.Options{PollWait: s.WatchWait.Std()})
+	return client.New(store, client.Options{
+		CallsPerSecond: s.CallsPerSecond,
+		Burst:          s.CallBurst,
+		AttemptTimeout: s.RequestTimeout.Std(),
+		PollTimeout:    s.WatchWait.Std() + pollMargin,
+		Registerer:     registry,
+	})
+}
+
 // newLogger returns the logger that the settings ask for; the level is valid by then.
 func newLogger(s settings.Log) *slog.Logger {
 	var level slog.Level
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -37,6 +37,7 @@
 	budget  Budget
 	ledger  Ledger
 	log     decisions
+	metrics *Metrics
 	held    atomic.Int64
 }
 
@@ -50,6 +51,7 @@
 		chooser: parts.Chooser,
 		budget:  parts.Budget,
 		ledger:  parts.Ledger,
+		metrics: parts.Metrics,
 		log:     decisions{log: parts.Log, every: uint64(max(config.DecisionSample, 1))},
 	}
 }
@@ -61,7 +63,8 @@
 // range holds the key; the outcome is then not run.
 func (d *Dispatcher) Do(ctx context.Context, r *plane.Request, answer Answer) (plane.Result, error) {
 	d.budget.Earn()
-	t := &trial{d: d, ctx: ctx, request: r, answer: answer, holdUntil: time.Now().Add(d.config.HoldMax)}
+	began := time.Now()
+	t := &trial{d: d, ctx: ctx, request: r, answer: answer, holdUntil: began.Add(d.config.HoldMax)}
 	for {
 		changed := d.router.Changed()
 		route, err := d.router.Locate(r.Service, r.Key)
@@ -77,6 +80,7 @@
 		if !t.again(result, owner, changed) {
 			d.ledger.Count(route, result.Outcome)
 			d.log.refusedFor(ctx, r, result)
+			d.metrics.ended(result, r.Attempt, time.Since(began))
 			return result, nil
 		}
 	}
--- a/node/entry/parts.go
+++ b/node/entry/parts.go
@@ -41,7 +41,7 @@
 	Forward(ctx context.Context, to plane.Peer, hops uint32, r *plane.Request, sink plane.Sink) forward.Reply
 }
 
-// Parts are what a dispatcher works with; all are needed.
+// Parts are what a dispatcher works with; all but Metrics are needed.
 type Parts struct {
 	Router  plane.Router
 	Local   plane.Server
@@ -50,4 +50,6 @@
 	Budget  Budget
 	Ledger  Ledger
 	Log     *slog.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
 }
--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -72,7 +72,7 @@
 	peer   plane.Peer
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -263,3 +263,17 @@
 		t.Errorf("idle connection not replaced: %v, %d", err, pool.Size())
 	}
 }
+
+// BenchmarkForward carries a small request to a peer on the loopback and back; the allocations
+// are those of both sides.
+func BenchmarkForward(b *testing.B) {
+	f := newFixture(b)
+	body := bytes.Repeat([]byte("x"), 200)
+	b.ReportAllocs()
+	for b.Loop() {
+		reply := f.client.Forward(context.Background(), f.peer, 0, request(body), &memorySink{})
+		if reply.Result.Outcome != outcome.Answered {
+			b.Fatalf("%+v", reply.Result)
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -25,7 +25,7 @@
 	"github.com/auburnrelay/auburnrelay/node/settings"
 	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/client"
 )
 
 const (
@@ -50,7 +50,7 @@
 	settings  *settings.Settings
 	log       *slog.Logger
 	registry  *prometheus.Registry
-	store     platform.Store
+	store     *client.Client
 	link      *target.Link
 	owner     *owner.Owner
 	sharer    *sharing.Sharer
@@ -73,8 +73,8 @@
 
 // Provision builds a node from its settings over the store and opens its ports. It fails
 // with the first part that cannot be built; nothing stays open then.
-func Provision(s *settings.Settings, store platform.Store, log *slog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, store: store, registry: prometheus.NewRegistry()}
+func Provision(s *settings.Settings, store *client.Client, registry *prometheus.Registry, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, store: store, registry: registry}
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, step := range []func() error{n.provisionOwner, n.provisionControl, n.provisionEntry, n.provisionServers, n.listen} {
 		if err := step(); err != nil {
@@ -108,7 +108,7 @@
 		Cell:   s.Node.Cell,
 		Policy: ownerConfig.Quarantine,
 		Log:    n.log.With("part", "sharing"),
-	}, n.store)
+	}, n.store.Background())
 	ownerConfig.Sharer = n.sharer
 	n.link = link
 	n.owner, err = owner.New(ownerConfig, link)
@@ -157,6 +157,10 @@
 		Members: n.cellMembers,
 		Log:     n.log.With("part", "sharing"),
 	})
+	metrics, err := entry.NewMetrics(n.registry)
+	if err != nil {
+		return err
+	}
 	n.dispatch = entry.NewDispatcher(
 		entry.DispatchConfig{
 			HoldMax:        holdMax,
@@ -174,6 +178,7 @@
 			Budget:  &lockedBudget{budget: retry.New(policy)},
 			Ledger:  n.ledger,
 			Log:     n.log.With("part", "entry"),
+			Metrics: metrics,
 		})
 	limits := entry.Limits{
 		KeyBytes:        s.Limits.KeyBytes,
@@ -197,7 +202,7 @@
 		Logger:          n.log.With("part", "account"),
 		Registry:        n.registry,
 		Now:             time.Now,
-	}, n.store, n.control, n.pool)
+	}, n.store.Background(), n.control, n.pool)
 }
 
 func (n *Node) provisionServers() error {
--- a/node/settings/defaults.go
+++ b/node/settings/defaults.go
@@ -27,9 +27,9 @@
 func defaultStore() Store {
 	return Store{
 		RequestTimeout: Duration(500 * time.Millisecond),
-		WatchWait:      Duration(30 * time.Second),
-		CallsPerSecond: 5,
-		CallBurst:      20,
+		WatchWait:      Duration(5 * time.Second),
+		CallsPerSecond: 10,
+		CallBurst:      60,
 	}
 }
 
