Let a drain wait for requests of an earlier lease

Cause: a request that outlived its lease was forgotten with the lease; when the slice was granted to the same node again and then moved, the drain ended while the request could still run on a target that checks no fences, and the next owner could serve beside it. Ruled out: the unplanned move, which waits until such a target's process is known to be gone.

--- a/node/owner/drain_test.go
+++ b/node/owner/drain_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 )
 
@@ -55,3 +56,43 @@
 		t.Error("the drain did not end")
 	}
 }
+
+// TestDrainWaitsForAFormerLease lets a request outlive the lease under which it began. The
+// slice is granted again and drained: the drain must not end while the request may run, for a
+// target that checks no fences has no other guard. The same holds if it was not granted again.
+func TestDrainWaitsForAFormerLease(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		s := newStand(t)
+		release := make(chan struct{})
+		s.fake.setWork(func(w http.ResponseWriter, r *http.Request) {
+			s.fake.ran(r)
+			<-release
+			w.WriteHeader(http.StatusNoContent)
+		})
+		first := make(chan struct{})
+		go func() {
+			s.owner.Serve(t.Context(), booking(ulid.Make(), 1), &answerSink{})
+			close(first)
+		}()
+		eventually(t, "request at the target", func() bool { return s.fake.total() == 1 })
+		id := bookings.SliceOf("any")
+		s.owner.End([]keyspace.SliceID{id}, "lapsed")
+		if again {
+			s.adopt(2, time.Now(), nil)
+		}
+		drained := make(chan struct{})
+		s.owner.Drain(id, func([]byte) { close(drained) })
+		select {
+		case <-drained:
+			t.Errorf("granted again %v: drained while a request of the former lease runs", again)
+		case <-time.After(10 * pollStep):
+		}
+		close(release)
+		<-first
+		select {
+		case <-drained:
+		case <-time.After(pollLimit):
+			t.Errorf("granted again %v: the drain did not end", again)
+		}
+	}
+}
--- a/node/owner/holder.go
+++ b/node/owner/holder.go
@@ -32,7 +32,7 @@
 	}
 	if !held || s.isClosed() {
 		delete(o.drained, lease.Slice)
-		o.slices[lease.Slice] = newSlice(lease, o.firstWindow(lease))
+		o.open(lease)
 		o.cfg.Logger.Info("slice adopted", "slice", lease.Slice.String(), "service", lease.Service,
 			"fence", lease.Fence.String(), "reason", "granted")
 		return
@@ -44,7 +44,7 @@
 	if !sameFence && !s.continues(now, lease) {
 		s.until.Store(0)
 		s.close(outcome.ReasonLeaseLapsed)
-		o.slices[lease.Slice] = newSlice(lease, o.firstWindow(lease))
+		o.open(lease)
 		return
 	}
 	if !sameFence {
@@ -54,6 +54,18 @@
 	s.until.Store(int64(lease.Until))
 }
 
+// open begins to hold a slice. Requests of an earlier lease of it may still run.
+func (o *Owner) open(lease plane.Lease) {
+	next := newSlice(lease, o.firstWindow(lease))
+	for _, former := range []*slice{o.slices[lease.Slice], o.ended[lease.Slice]} {
+		if former != nil && !former.quiet() {
+			next.former = former
+		}
+	}
+	delete(o.ended, lease.Slice)
+	o.slices[lease.Slice] = next
+}
+
 // firstWindow returns the window that a new owner starts with. One that cannot be read is
 // replaced by none, which refuses more and runs nothing twice.
 func (o *Owner) firstWindow(lease plane.Lease) *outcome.Window {
@@ -91,6 +103,9 @@
 	o.revoke = append(o.revoke, id)
 	// The lease is gone: nothing may be handed over in its name.
 	s.drained = nil
+	if !s.quiet() {
+		o.ended[id] = s
+	}
 	o.cfg.Logger.Info("slice ended", "slice", id.String(), "fence", s.lease.Fence.String(), "reason", reason)
 }
 
@@ -119,6 +134,11 @@
 func (o *Owner) Drain(id keyspace.SliceID, done func(window []byte)) {
 	o.mu.Lock()
 	s, held := o.slices[id]
+	if left := o.ended[id]; !held && left != nil {
+		left.drained = done
+		o.mu.Unlock()
+		return
+	}
 	if !held {
 		o.mu.Unlock()
 		done(nil)
@@ -133,6 +153,25 @@
 	runAll(finish)
 }
 
+// settled looks at what waits for the end of a request of the slice, which may have been
+// replaced or ended since. It returns what is left to do once the lock is free.
+func (o *Owner) settled(s *slice) []func() {
+	id := s.lease.Slice
+	if current, held := o.slices[id]; held {
+		return o.finishDrain(current)
+	}
+	left := o.ended[id]
+	if left == nil || !left.quiet() {
+		return nil
+	}
+	delete(o.ended, id)
+	done := left.drained
+	if done == nil {
+		return nil
+	}
+	return []func(){func() { done(nil) }}
+}
+
 // finishDrain gives up a slice that drains and is quiet. It returns what is left to do once
 // the lock is free.
 func (o *Owner) finishDrain(s *slice) []func() {
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -88,6 +88,8 @@
 
 	mu     sync.Mutex
 	slices map[keyspace.SliceID]*slice
+	// ended holds the slices whose lease is gone while requests of theirs may still run.
+	ended map[keyspace.SliceID]*slice
 	// drained holds the fence under which each slice was handed over; a renewal under it or a
 	// lower one comes too late.
 	drained map[keyspace.SliceID]fence.Fence
@@ -136,6 +138,7 @@
 		begin:   time.Now(),
 		push:    make(chan struct{}, 1),
 		slices:  map[keyspace.SliceID]*slice{},
+		ended:   map[keyspace.SliceID]*slice{},
 		drained: map[keyspace.SliceID]fence.Fence{},
 		queue:   queue,
 		tracker: quarantine.New(cfg.Quarantine),
--- a/node/owner/pending.go
+++ b/node/owner/pending.go
@@ -89,7 +89,7 @@
 	if state == target.CallCancelled && call.requestID != (ulid.ULID{}) {
 		s.window.Amend(call.requestID, outcome.End{Outcome: outcome.NotRun, Reason: outcome.ReasonCancelled})
 	}
-	return o.finishDrain(s)
+	return o.settled(s)
 }
 
 // resolveIncarnation takes all calls of a process that has ended off the list; the caller holds
--- a/node/owner/serve.go
+++ b/node/owner/serve.go
@@ -147,7 +147,7 @@
 	}
 	r.owner.mu.Lock()
 	r.slice.busy--
-	freed := r.owner.finishDrain(r.slice)
+	freed := r.owner.settled(r.slice)
 	r.owner.mu.Unlock()
 	runAll(freed)
 }
--- a/node/owner/slice.go
+++ b/node/owner/slice.go
@@ -29,6 +29,8 @@
 	pending int
 	// ends holds a channel for each running id, closed at its end.
 	ends map[ulid.ULID]chan struct{}
+	// former is an earlier lease of the slice on this node whose requests may still run.
+	former *slice
 	// drained is called with the encoded window once nothing runs any more; nil if no one
 	// waits for it.
 	drained func(window []byte)
@@ -71,8 +73,11 @@
 	return sameOwner && s.remaining(now) > 0
 }
 
-// quiet reports whether nothing of the slice is running or may be.
-func (s *slice) quiet() bool { return s.busy == 0 && s.pending == 0 }
+// quiet reports whether nothing of the slice is running or may be, under this lease or an
+// earlier one.
+func (s *slice) quiet() bool {
+	return s.busy == 0 && s.pending == 0 && (s.former == nil || s.former.quiet())
+}
 
 // grantState tells whether the target knows of the slice's current fence.
 type grantState struct {
