End the leases before the peer listener closes

A refused connection is taken as proof that a node's process is gone, but a node that ended by a fault closed that listener while its control side still held leases.

--- a/node/run.go
+++ b/node/run.go
@@ -32,8 +32,11 @@
 	group.Add(n.untilSignal(ctx))
 	group.Add(serveHTTP(n.entry, n.listeners.entry))
 	group.Add(n.runLedger())
+	// The control side ends its leases before the peer listener closes: a refused connection
+	// proves to others that nothing is held here any more.
+	group.Add(untilEnded(n.control.Run))
 	group.Add(servePeers(n.peers, n.listeners.peer))
-	for _, loop := range []func(context.Context) error{n.control.Run, n.owner.Run, n.link.Run, n.sharer.Run} {
+	for _, loop := range []func(context.Context) error{n.owner.Run, n.link.Run, n.sharer.Run} {
 		group.Add(untilCancelled(loop))
 	}
 	group.Add(serveHTTP(n.local, n.listeners.target))
@@ -146,3 +149,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return func() error { return loop(ctx) }, func(error) { cancel() }
 }
+
+// untilEnded is like untilCancelled, and its interrupt returns when the loop has.
+func untilEnded(loop func(context.Context) error) (func() error, func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	execute := func() error {
+		defer close(ended)
+		return loop(ctx)
+	}
+	interrupt := func(error) {
+		cancel()
+		<-ended
+	}
+	return execute, interrupt
+}
