--- a/node/daemon.go
+++ b/node/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/auburnrelay/auburnrelay/node/settings"
+	"github.com/auburnrelay/auburnrelay/platform"
 	"github.com/auburnrelay/auburnrelay/platform/client"
 	"github.com/auburnrelay/auburnrelay/platform/httpstore"
 )
@@ -16,7 +17,8 @@
 // Run provisions a node over the store that its settings name and runs it.
 func Run(ctx context.Context, s *settings.Settings) error {
 	registry := prometheus.NewRegistry()
-	n, err := Provision(s, openStore(s.Store, registry), registry, newLogger(s.Log))
+	record := httpstore.New(s.Store.URL, httpstore.Options{PollWait: s.Store.WatchWait.Std()})
+	n, err := Provision(s, Stores{Record: record, Budgeted: openStore(record, s.Store, registry)}, registry, newLogger(s.Log))
 	if err != nil {
 		return err
 	}
@@ -27,8 +29,7 @@
 const pollMargin = 2 * time.Second
 
 // openStore returns the client of the object store, with the call budget of the settings.
-func openStore(s settings.Store, registry prometheus.Registerer) *client.Client {
-	store := httpstore.New(s.URL, httpstore.Options{PollWait: s.WatchWait.Std()})
+func openStore(store platform.Store, s settings.Store, registry prometheus.Registerer) *client.Client {
 	return client.New(store, client.Options{
 		CallsPerSecond: s.CallsPerSecond,
 		Burst:          s.CallBurst,
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/auburnrelay/auburnrelay/node/settings"
 	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
+	"github.com/auburnrelay/auburnrelay/platform"
 	"github.com/auburnrelay/auburnrelay/platform/client"
 )
 
@@ -50,7 +51,7 @@
 	settings  *settings.Settings
 	log       *slog.Logger
 	registry  *prometheus.Registry
-	store     *client.Client
+	stores    Stores
 	link      *target.Link
 	owner     *owner.Owner
 	sharer    *sharing.Sharer
@@ -66,6 +67,13 @@
 	listeners listeners
 }
 
+// Stores are the two ways to the object store. The control side makes its calls one at a time
+// and must learn of an outage at once; all else draws on the call budget and is retried.
+type Stores struct {
+	Record   platform.Store
+	Budgeted *client.Client
+}
+
 // listeners are the node's open ports.
 type listeners struct {
 	entry, peer, target, admin net.Listener
@@ -73,8 +81,8 @@
 
 // Provision builds a node from its settings over the store and opens its ports. It fails
 // with the first part that cannot be built; nothing stays open then.
-func Provision(s *settings.Settings, store *client.Client, registry *prometheus.Registry, log *slog.Logger) (*Node, error) {
-	n := &Node{settings: s, log: log, store: store, registry: registry}
+func Provision(s *settings.Settings, stores Stores, registry *prometheus.Registry, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, stores: stores, registry: registry}
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	for _, step := range []func() error{n.provisionOwner, n.provisionControl, n.provisionEntry, n.provisionServers, n.listen} {
 		if err := step(); err != nil {
@@ -108,7 +116,7 @@
 		Cell:   s.Node.Cell,
 		Policy: ownerConfig.Quarantine,
 		Log:    n.log.With("part", "sharing"),
-	}, n.store.Background())
+	}, n.stores.Budgeted)
 	ownerConfig.Sharer = n.sharer
 	n.link = link
 	n.owner, err = owner.New(ownerConfig, link)
@@ -140,7 +148,7 @@
 		Dial:     dialFrom(s.Listen.Peer),
 	}
 	var err error
-	n.control, err = control.New(config, n.store, n.owner)
+	n.control, err = control.New(config, n.stores.Record, n.owner)
 	return err
 }
 
@@ -202,7 +210,7 @@
 		Logger:          n.log.With("part", "account"),
 		Registry:        n.registry,
 		Now:             time.Now,
-	}, n.store.Background(), n.control, n.pool)
+	}, n.stores.Budgeted, n.control, n.pool)
 }
 
 func (n *Node) provisionServers() error {
