--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -63,7 +63,8 @@
 	RequestTimeout Duration `toml:"request_timeout" validate:"gt=0"`
 	// WatchWait is how long one poll of a watch waits for changes.
 	WatchWait Duration `toml:"watch_wait" validate:"gt=0"`
-	// CallsPerSecond and CallBurst are the node's call budget.
+	// CallsPerSecond and CallBurst are the budget of calls for the account and the sharing of
+	// bans; the control side calls the store outside it.
 	CallsPerSecond float64 `toml:"calls_per_second" validate:"gt=0"`
 	CallBurst      int     `toml:"call_burst" validate:"gt=0"`
 }
