--- /dev/null
+++ b/standin/cmd/standin-store/main.go
@@ -0,0 +1,40 @@
+// Command standin-store serves the stand-in of the platform's object store.
+package main
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnrelay/auburnrelay/standin/serve"
+	"github.com/auburnrelay/auburnrelay/standin/store"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		slog.Error("standin-store ends", "reason", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var listen string
+	var options store.Options
+	cmd := &cobra.Command{
+		Use:           "standin-store",
+		Short:         "Serve a stand-in of the platform's object store, kept in memory",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			return serve.UntilSignal(listen, store.New(options), serve.Options{})
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:7000", "IP address and port to listen on")
+	flags.Float64Var(&options.ReadsPerSecond, "reads", store.DefaultReadsPerSecond, "reads per second")
+	flags.Float64Var(&options.WritesPerSecond, "writes", store.DefaultWritesPerSecond, "writes per second")
+	flags.Uint64Var(&options.Memory.Seed, "seed", 1, "seed of the faults")
+	return cmd
+}
--- /dev/null
+++ b/standin/cmd/standin-target/main.go
@@ -0,0 +1,113 @@
+// Command standin-target serves the stand-in of a target.
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+	"github.com/auburnrelay/auburnrelay/standin/serve"
+	"github.com/auburnrelay/auburnrelay/standin/target"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		slog.Error("standin-target ends", "reason", err)
+		os.Exit(1)
+	}
+}
+
+// settings are what the flags say.
+type settings struct {
+	target  target.Config
+	listen  string
+	logFile string
+	// work maps kinds of work to times such as "5ms".
+	work  map[string]string
+	serve serve.Options
+}
+
+func command() *cobra.Command {
+	var s settings
+	cmd := &cobra.Command{
+		Use:           "standin-target",
+		Short:         "Serve a stand-in of a target that announces itself to the node on its VM",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return run(s) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&s.listen, "listen", "127.0.0.1:7100", "IP address and port to listen on")
+	flags.StringVar(&s.logFile, "log", "", "file that the execution log is appended to")
+	flags.StringToStringVar(&s.work, "work", map[string]string{"default": "5ms"},
+		"mean service time by kind of work, the path segment after the key")
+	flags.DurationVar(&s.serve.DrainTime, "drain", 30*time.Second, "longest wait for running work after a signal")
+	flags.IntVar(&s.serve.MaxConnections, "connections", 100, "connections served at once")
+	flags.DurationVar(&s.serve.ConnectionCost, "connection-cost", time.Millisecond, "time that a new connection costs")
+	c := &s.target
+	flags.StringVar(&c.Name, "name", "target", "name of the target")
+	flags.StringVar(&c.Node, "node", "", "base URL of the node to announce to; empty for none")
+	flags.IntVar(&c.Slots, "slots", 6, "requests that run at once")
+	flags.IntVar(&c.Queue, "queue", 64, "requests that wait for a slot before others are shed")
+	flags.BoolVar(&c.CheckFences, "check-fences", false, "refuse lower fences and lapsed grants")
+	flags.StringSliceVar(&c.Services, "services", nil, "services announced; empty for all")
+	flags.DurationVar(&c.StartTime, "start", 0, "time in state starting")
+	flags.DurationVar(&c.ColdTime, "cold", 0, "time after the start during which work is slower")
+	flags.Float64Var(&c.ColdFactor, "cold-factor", 4, "slowness of work right after the start")
+	flags.DurationVar(&c.ProbeCost, "probe-cost", 6*time.Millisecond, "time that a health probe takes")
+	flags.StringVar(&c.PoisonKey, "poison-key", "", "key whose requests end this process")
+	flags.Uint64Var(&c.Seed, "seed", 1, "seed of the spread of service times")
+	return cmd
+}
+
+func run(s settings) error {
+	times, err := serviceTimes(s.work)
+	if err != nil {
+		return err
+	}
+	out, err := openLog(s.logFile)
+	if err != nil {
+		return err
+	}
+	s.target.ServiceTimes = times
+	s.target.Address = s.listen
+	s.target.Log = execlog.NewWriter(out)
+	t := target.New(s.target)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.serve.OnStop = t.DrainAndWait
+	return serve.UntilSignal(s.listen, t, s.serve, serve.Actor{
+		Execute:   func() error { return t.Announce(ctx) },
+		Interrupt: func(error) { cancel() },
+	})
+}
+
+func serviceTimes(work map[string]string) (map[string]time.Duration, error) {
+	times := make(map[string]time.Duration)
+	for kind, text := range work {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return nil, errors.Wrapf(err, "--work %s", kind)
+		}
+		if kind == "default" {
+			kind = ""
+		}
+		times[kind] = d
+	}
+	return times, nil
+}
+
+func openLog(name string) (io.Writer, error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	return file, errors.Wrap(err, "open execution log")
+}
--- /dev/null
+++ b/standin/execlog/clock_linux.go
@@ -0,0 +1,17 @@
+package execlog
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// BootTime returns the boot-time clock, which does not stop while the machine sleeps. The
+// processes of one machine read the same clock.
+func BootTime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err)
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/standin/serve/serve.go
@@ -0,0 +1,130 @@
+// Package serve runs the HTTP servers of the stand-ins' commands. It holds no locks.
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	defaultDrainTime  = 2 * time.Second
+)
+
+// Options are the settings of a server; zero values take the defaults.
+type Options struct {
+	// DrainTime is the longest wait for running requests after a signal; 2 s by default.
+	DrainTime time.Duration
+	// MaxConnections bounds the connections served at once; zero means no bound.
+	MaxConnections int
+	// ConnectionCost is the time that a new connection waits before its first request is read.
+	ConnectionCost time.Duration
+	// OnStop is called after a signal while requests are still taken; its context ends with
+	// the DrainTime.
+	OnStop func(context.Context)
+}
+
+// Actor is one more part of a command that runs beside its server: Execute returns when
+// Interrupt is called.
+type Actor struct {
+	Execute   func() error
+	Interrupt func(error)
+}
+
+// UntilSignal serves handler on the address until SIGINT or SIGTERM or until an actor ends.
+// It returns nil after a signal.
+func UntilSignal(address string, handler http.Handler, o Options, actors ...Actor) error {
+	listener, err := listen(address, o)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	drained := make(chan struct{})
+	var group run.Group
+	group.Add(func() error {
+		err := server.Serve(listener)
+		<-drained
+		return err
+	}, func(error) {
+		defer close(drained)
+		shutdown(server, o)
+	})
+	for _, actor := range actors {
+		group.Add(actor.Execute, actor.Interrupt)
+	}
+	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	slog.Info("listening", "address", listener.Addr().String())
+	err = group.Run()
+	if errors.Is(err, run.ErrSignal) {
+		slog.Info("stopped", "reason", err)
+		return nil
+	}
+	return err
+}
+
+func listen(address string, o Options) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if o.MaxConnections > 0 {
+		listener = netutil.LimitListener(listener, o.MaxConnections)
+	}
+	if o.ConnectionCost > 0 {
+		listener = costlyListener{Listener: listener, cost: o.ConnectionCost}
+	}
+	return listener, nil
+}
+
+// shutdown lets what runs end for a bounded time, then cuts it.
+func shutdown(server *http.Server, o Options) {
+	if o.DrainTime <= 0 {
+		o.DrainTime = defaultDrainTime
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), o.DrainTime)
+	defer cancel()
+	if o.OnStop != nil {
+		o.OnStop(ctx)
+	}
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+// costlyListener delays the first read of each connection.
+type costlyListener struct {
+	net.Listener
+	cost time.Duration
+}
+
+// Accept implements net.Listener.
+func (l costlyListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &costlyConn{Conn: conn, cost: l.cost}, nil
+}
+
+type costlyConn struct {
+	net.Conn
+	cost time.Duration
+}
+
+// Read implements net.Conn; one goroutine reads a connection at a time.
+func (c *costlyConn) Read(p []byte) (int, error) {
+	if c.cost > 0 {
+		time.Sleep(c.cost)
+		c.cost = 0
+	}
+	return c.Conn.Read(p)
+}
--- /dev/null
+++ b/standin/target/grants.go
@@ -0,0 +1,107 @@
+package target
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+)
+
+// GrantMessage gives the target one slice for a time.
+type GrantMessage struct {
+	Slice       string `json:"slice"`
+	Fence       string `json:"fence"`
+	RemainingMS int64  `json:"remaining_ms"`
+}
+
+// GrantsMessage is the body of PUT /v1/grants.
+type GrantsMessage struct {
+	Grants []GrantMessage `json:"grants"`
+	Revoke []string       `json:"revoke"`
+}
+
+// RefusedMessage names the slices whose grants had a lower fence than one already seen.
+type RefusedMessage struct {
+	Refused []string `json:"refused"`
+}
+
+// grant is what the target knows of one slice.
+type grant struct {
+	// highest is the highest fence ever seen for the slice.
+	highest fence.Fence
+	// until is when the grant lapses, on the boot-time clock; zero after a revocation.
+	until time.Duration
+}
+
+type grantTable struct {
+	mu     sync.Mutex
+	slices map[string]grant
+}
+
+func newGrantTable() *grantTable {
+	return &grantTable{slices: make(map[string]grant)}
+}
+
+// take stores the grant unless its fence is below one already seen.
+func (g *grantTable) take(slice string, f fence.Fence, remaining time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.slices[slice]
+	if f.Less(known.highest) {
+		return false
+	}
+	g.slices[slice] = grant{highest: f, until: execlog.BootTime() + remaining}
+	return true
+}
+
+func (g *grantTable) revoke(slice string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.slices[slice]
+	known.until = 0
+	g.slices[slice] = known
+}
+
+// check returns why work under the fence is refused, or "" if it may run.
+func (g *grantTable) check(slice string, f fence.Fence) Reason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.slices[slice]
+	switch {
+	case f.Less(known.highest):
+		return ReasonFence
+	case known.highest.Less(f), execlog.BootTime() >= known.until:
+		return ReasonLapsed
+	default:
+		return ""
+	}
+}
+
+func (t *Target) putGrants(c echo.Context) error {
+	var m GrantsMessage
+	if err := c.Bind(&m); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	refused := RefusedMessage{Refused: []string{}}
+	for _, g := range m.Grants {
+		f, err := fence.Parse(g.Fence)
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+		remaining := time.Duration(g.RemainingMS) * time.Millisecond
+		if !t.grants.take(g.Slice, f, remaining) {
+			refused.Refused = append(refused.Refused, g.Slice)
+		}
+	}
+	for _, slice := range m.Revoke {
+		t.grants.revoke(slice)
+	}
+	if t.config.CheckFences && len(refused.Refused) > 0 {
+		return c.JSON(http.StatusConflict, refused)
+	}
+	return c.JSON(http.StatusOK, refused)
+}
--- /dev/null
+++ b/standin/target/request.go
@@ -0,0 +1,126 @@
+package target
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/auburnrelay/auburnrelay/core/fence"
+)
+
+// Headers of work requests and their answers.
+const (
+	HeaderRequestID = "Auburnrelay-Request-Id"
+	HeaderAttempt   = "Auburnrelay-Attempt"
+	HeaderSlice     = "Auburnrelay-Slice"
+	HeaderFence     = "Auburnrelay-Fence"
+	HeaderRemaining = "Auburnrelay-Remaining-Ms"
+	HeaderNotRun    = "Auburnrelay-Not-Run"
+)
+
+// Reason says why a request was refused before anything of it ran.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonFence     Reason = "fence"
+	ReasonLapsed    Reason = "lapsed"
+	ReasonShed      Reason = "shed"
+	ReasonDraining  Reason = "draining"
+	ReasonStarting  Reason = "starting"
+	ReasonDeadline  Reason = "deadline"
+	ReasonCancelled Reason = "cancelled"
+)
+
+const (
+	workPath     = "/work/"
+	maxBytes     = 1 << 30
+	retrySeconds = "1"
+)
+
+// request is one parsed work request.
+type request struct {
+	service   string
+	key       string
+	rest      string
+	method    string
+	id        string
+	attempt   string
+	slice     string
+	fence     fence.Fence
+	deadline  time.Time
+	bytes     int64
+	bytesRate int64
+}
+
+func parseRequest(r *http.Request) (request, error) {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), workPath)
+	service, path, _ := strings.Cut(path, "/")
+	escapedKey, rest, _ := strings.Cut(path, "/")
+	key, err := url.PathUnescape(escapedKey)
+	if err != nil || key == "" || service == "" {
+		return request{}, echo.NewHTTPError(http.StatusBadRequest, "path is not /work/SERVICE/KEY")
+	}
+	q := request{
+		service: service,
+		key:     key,
+		rest:    rest,
+		method:  r.Method,
+		id:      r.Header.Get(HeaderRequestID),
+		attempt: r.Header.Get(HeaderAttempt),
+		slice:   r.Header.Get(HeaderSlice),
+	}
+	if text := r.Header.Get(HeaderFence); text != "" {
+		if q.fence, err = fence.Parse(text); err != nil {
+			return request{}, echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+	}
+	if err := q.parseDeadline(r.Header.Get(HeaderRemaining)); err != nil {
+		return request{}, err
+	}
+	return q, q.parseQuery(r.URL.Query())
+}
+
+func (q *request) parseDeadline(text string) error {
+	if text == "" {
+		return nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "malformed remaining time")
+	}
+	q.deadline = time.Now().Add(time.Duration(millis) * time.Millisecond)
+	return nil
+}
+
+// parseQuery reads the size of a long answer in bytes and its pace in bytes per second.
+func (q *request) parseQuery(values url.Values) error {
+	var err error
+	if text := values.Get("bytes"); text != "" {
+		q.bytes, err = strconv.ParseInt(text, 10, 64)
+		if err != nil || q.bytes < 0 || q.bytes > maxBytes {
+			return echo.NewHTTPError(http.StatusBadRequest, "malformed bytes")
+		}
+	}
+	if text := values.Get("rate"); text != "" {
+		q.bytesRate, err = strconv.ParseInt(text, 10, 64)
+		if err != nil || q.bytesRate <= 0 {
+			return echo.NewHTTPError(http.StatusBadRequest, "malformed rate")
+		}
+	}
+	return nil
+}
+
+// kind returns the kind of work, the first segment after the key.
+func (q *request) kind() string {
+	kind, _, _ := strings.Cut(q.rest, "/")
+	return kind
+}
+
+func (q *request) expired() bool {
+	return !q.deadline.IsZero() && !time.Now().Before(q.deadline)
+}
--- /dev/null
+++ b/standin/target/stream.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// chunkBytes is the size of one write of a long answer.
+const chunkBytes = 16 << 10
+
+// stream writes a long answer of the asked size, paced if the request says so. The bytes
+// repeat the key, so that a caller can check that the answer is whole and its own.
+func (t *Target) stream(ctx context.Context, c echo.Context, q *request, number uint64) error {
+	header := c.Response().Header()
+	header.Set(echo.HeaderContentType, echo.MIMEOctetStream)
+	header.Set(echo.HeaderContentLength, strconv.FormatInt(q.bytes, 10))
+	header.Set("Auburnrelay-Execution", strconv.FormatUint(number, 10))
+	c.Response().WriteHeader(http.StatusOK)
+	began := time.Now()
+	for sent := int64(0); sent < q.bytes; {
+		if err := t.pace(ctx, began, sent, q.bytesRate); err != nil {
+			return err
+		}
+		n := min(chunkBytes, q.bytes-sent)
+		if _, err := c.Response().Write(Content(q.key, sent, int(n))); err != nil {
+			return err
+		}
+		c.Response().Flush()
+		sent += n
+	}
+	return nil
+}
+
+// pace waits until a stream of bytesRate bytes per second may go on after the sent bytes.
+func (t *Target) pace(ctx context.Context, began time.Time, sent, bytesRate int64) error {
+	if bytesRate == 0 {
+		return t.waitThawed(ctx)
+	}
+	due := time.Duration(float64(sent) / float64(bytesRate) * float64(time.Second))
+	return t.serve(ctx, time.Until(began.Add(due)))
+}
+
+// Content returns the n bytes at offset of the long answer for key.
+func Content(key string, offset int64, n int) []byte {
+	content := make([]byte, n)
+	pattern := key + "\n"
+	for i := range content {
+		content[i] = pattern[(offset+int64(i))%int64(len(pattern))]
+	}
+	return content
+}
--- /dev/null
+++ b/standin/target/work.go
@@ -0,0 +1,237 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+)
+
+// AnswerMessage is the answer to work that has no size of its own.
+type AnswerMessage struct {
+	Service   string `json:"service"`
+	Key       string `json:"key"`
+	Target    string `json:"target"`
+	Fence     string `json:"fence"`
+	Execution uint64 `json:"execution"`
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+}
+
+func (t *Target) work(c echo.Context) error {
+	q, err := parseRequest(c.Request())
+	if err != nil {
+		return err
+	}
+	if reason := t.refusal(&q); reason != "" {
+		return refuse(c, reason)
+	}
+	ctx, cancel := context.WithCancel(c.Request().Context())
+	defer cancel()
+	a := attempt{id: q.id, number: q.attempt}
+	run := t.runs.begin(a, cancel)
+	if run == nil {
+		return refuse(c, ReasonCancelled)
+	}
+	defer t.runs.end(a, run)
+	if reason := t.takeSlot(ctx, &q); reason != "" {
+		return refuse(c, reason)
+	}
+	defer func() { <-t.slots }()
+	if reason := t.refusal(&q); reason != "" {
+		return refuse(c, reason)
+	}
+	if !t.runs.start(ctx, run) {
+		return refuse(c, ReasonCancelled)
+	}
+	return t.execute(ctx, c, &q)
+}
+
+// refusal returns why the target may not start the request now, or "".
+func (t *Target) refusal(q *request) Reason {
+	switch {
+	case t.State() == Starting:
+		return ReasonStarting
+	case t.State() == Draining:
+		return ReasonDraining
+	case q.expired():
+		return ReasonDeadline
+	case t.currentFaults().Shed:
+		return ReasonShed
+	case t.config.CheckFences && q.slice != "":
+		return t.grants.check(q.slice, q.fence)
+	default:
+		return ""
+	}
+}
+
+// takeSlot waits for a free slot in order of arrival.
+func (t *Target) takeSlot(ctx context.Context, q *request) Reason {
+	select {
+	case t.slots <- struct{}{}:
+		return ""
+	default:
+	}
+	if t.queued.Add(1) > int64(t.config.Queue) {
+		t.queued.Add(-1)
+		return ReasonShed
+	}
+	defer t.queued.Add(-1)
+	if !q.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, q.deadline)
+		defer cancel()
+	}
+	select {
+	case t.slots <- struct{}{}:
+		return ""
+	case <-ctx.Done():
+		if q.expired() {
+			return ReasonDeadline
+		}
+		return ReasonCancelled
+	}
+}
+
+func refuse(c echo.Context, reason Reason) error {
+	status := http.StatusServiceUnavailable
+	if reason == ReasonFence || reason == ReasonLapsed {
+		status = http.StatusPreconditionFailed
+	}
+	c.Response().Header().Set(HeaderNotRun, string(reason))
+	c.Response().Header().Set(echo.HeaderRetryAfter, retrySeconds)
+	return c.JSON(status, refusalMessage{NotRun: reason})
+}
+
+type refusalMessage struct {
+	NotRun Reason `json:"not_run"`
+}
+
+func (t *Target) execute(ctx context.Context, c echo.Context, q *request) error {
+	number := t.number.Add(1)
+	entry := t.entry(q, number)
+	if err := t.log.Write(entry); err != nil {
+		return err
+	}
+	outcome := execlog.Cancelled
+	defer func() {
+		entry.Phase, entry.Outcome = execlog.End, outcome
+		_ = t.log.Write(entry)
+	}()
+	if t.isPoison(q.key) {
+		entry.Phase, entry.Outcome = execlog.End, execlog.Crashed
+		_ = t.log.Write(entry)
+		t.config.Crash()
+	}
+	if err := t.serve(ctx, t.serviceTime(q.kind())); err != nil {
+		abort()
+	}
+	outcome = execlog.Cut
+	if err := t.answer(ctx, c, q, number); err != nil {
+		abort()
+	}
+	outcome = execlog.Done
+	return nil
+}
+
+// abort ends the connection in the way of net/http, so that the caller sees no whole answer.
+func abort() {
+	panic(http.ErrAbortHandler)
+}
+
+func (t *Target) entry(q *request, number uint64) execlog.Entry {
+	return execlog.Entry{
+		Phase:       execlog.Start,
+		Target:      t.config.Name,
+		Incarnation: t.incarnation,
+		Number:      number,
+		Service:     q.service,
+		Key:         q.key,
+		Slice:       q.slice,
+		Fence:       q.fence.String(),
+		RequestID:   q.id,
+		Attempt:     q.attempt,
+		Method:      q.method,
+		Rest:        q.rest,
+	}
+}
+
+// serve spends the service time in the slot.
+func (t *Target) serve(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return t.waitThawed(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// serviceTime returns the mean time of the kind, spread evenly between half and one and a
+// half of it, times what slows the target now.
+func (t *Target) serviceTime(kind string) time.Duration {
+	mean, ok := t.config.ServiceTimes[kind]
+	if !ok {
+		mean, ok = t.config.ServiceTimes[""]
+	}
+	if !ok {
+		mean = defaultServiceTime
+	}
+	t.mu.Lock()
+	spread := 0.5 + t.random.Float64()
+	t.mu.Unlock()
+	return time.Duration(float64(mean) * spread * t.slowness())
+}
+
+func (t *Target) slowness() float64 {
+	factor := 1.0
+	if set := t.currentFaults().Multiplier; set > 0 {
+		factor = set
+	}
+	age := time.Since(t.started) - t.config.StartTime
+	if age < t.config.ColdTime {
+		left := 1 - float64(age)/float64(t.config.ColdTime)
+		factor *= 1 + (t.config.ColdFactor-1)*left
+	}
+	return factor
+}
+
+func (t *Target) answer(ctx context.Context, c echo.Context, q *request, number uint64) error {
+	if q.bytes > 0 {
+		return t.stream(ctx, c, q, number)
+	}
+	return c.JSON(http.StatusOK, AnswerMessage{
+		Service:   q.service,
+		Key:       q.key,
+		Target:    t.config.Name,
+		Fence:     q.fence.String(),
+		Execution: number,
+		RequestID: q.id,
+		Method:    q.method,
+	})
+}
+
+func (t *Target) executions(c echo.Context) error {
+	after := 0
+	if text := c.QueryParam("after"); text != "" {
+		var err error
+		if after, err = strconv.Atoi(text); err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "malformed after")
+		}
+	}
+	c.Response().Header().Set(echo.HeaderContentType, "application/x-ndjson")
+	c.Response().WriteHeader(http.StatusOK)
+	encoder := json.NewEncoder(c.Response())
+	for _, entry := range t.log.After(after) {
+		if err := encoder.Encode(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
