--- /dev/null
+++ b/standin/target/faults_test.go
@@ -0,0 +1,281 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/standin/execlog"
+)
+
+const (
+	quick = time.Millisecond
+	// endless is a service time that no test waits for.
+	endless = time.Minute
+)
+
+func times(d time.Duration) map[string]time.Duration {
+	return map[string]time.Duration{"": quick, "long": d}
+}
+
+func TestRefusals(t *testing.T) {
+	rows := []struct {
+		name    string
+		config  Config
+		faults  FaultsMessage
+		headers []string
+		want    Reason
+	}{
+		{name: "none"},
+		{name: "starting", config: Config{StartTime: endless}, want: ReasonStarting},
+		{name: "draining", faults: FaultsMessage{Draining: true}, want: ReasonDraining},
+		{name: "shed", faults: FaultsMessage{Shed: true}, want: ReasonShed},
+		{name: "deadline passed", headers: []string{HeaderRemaining + ": 0"}, want: ReasonDeadline},
+		{name: "deadline to come", headers: []string{HeaderRemaining + ": 60000"}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			row.config.ServiceTimes = times(quick)
+			f := start(t, row.config)
+			f.SetFaults(row.faults)
+			status, reason, _ := f.call(t, "POST", "/work/s/k", "", row.headers...)
+			if reason != string(row.want) || (status == http.StatusOK) != (row.want == "") {
+				t.Errorf("status %d, reason %q, want %q", status, reason, row.want)
+			}
+			if ran := len(f.log.After(0)) > 0; ran != (row.want == "") {
+				t.Errorf("ran: %v", ran)
+			}
+		})
+	}
+}
+
+func TestMalformedWork(t *testing.T) {
+	f := start(t, Config{ServiceTimes: times(quick)})
+	for _, path := range []string{
+		"/work/", "/work/s", "/work/s/", "/work//k", "/work/s/k?bytes=x", "/work/s/k?bytes=-1", "/work/s/k?rate=0",
+	} {
+		if status, _, _ := f.call(t, "GET", path, ""); status != http.StatusBadRequest {
+			t.Errorf("%s: status %d", path, status)
+		}
+	}
+	for _, header := range []string{HeaderFence + ": x", HeaderRemaining + ": x"} {
+		if status, _, _ := f.call(t, "GET", "/work/s/k", "", header); status != http.StatusBadRequest {
+			t.Errorf("%s: status %d", header, status)
+		}
+	}
+}
+
+// occupy starts a request that holds a slot until the returned function is called.
+func (f *fixture) occupy(t *testing.T, id string) (release func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	running := len(f.slots)
+	go func() {
+		defer close(ended)
+		request, _ := http.NewRequestWithContext(ctx, "GET", f.url+"/work/s/k/long", nil)
+		request.Header.Set(HeaderRequestID, id)
+		request.Header.Set(HeaderAttempt, "1")
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			response.Body.Close()
+		}
+	}()
+	eventually(t, "a slot is taken", func() bool { return len(f.slots) == running+1 })
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+func TestSlotsQueueAndShedding(t *testing.T) {
+	f := start(t, Config{Slots: 1, Queue: 1, ServiceTimes: times(endless)})
+	defer f.occupy(t, "holder")()
+	queued := make(chan string, 1)
+	go func() {
+		_, reason, _ := f.call(t, "GET", "/work/s/k", "", HeaderRemaining+": 300")
+		queued <- reason
+	}()
+	eventually(t, "one waits", func() bool { return f.queued.Load() == 1 })
+	if _, reason, _ := f.call(t, "GET", "/work/s/k", ""); reason != string(ReasonShed) {
+		t.Errorf("above the queue: reason %q", reason)
+	}
+	if reason := <-queued; reason != string(ReasonDeadline) {
+		t.Errorf("deadline in the queue: reason %q", reason)
+	}
+	if n := len(f.log.After(0)); n != 1 {
+		t.Errorf("%d lines logged, want the holder's start", n)
+	}
+}
+
+// TestGrantLapsesInTheQueue lets a request wait for a slot until its grant has lapsed.
+func TestGrantLapsesInTheQueue(t *testing.T) {
+	f := start(t, Config{Slots: 1, CheckFences: true, ServiceTimes: times(endless)})
+	release := f.occupy(t, "holder")
+	f.call(t, "PUT", "/v1/grants", `{"grants":[{"slice":"a/1","fence":"1.1","remaining_ms":60000}]}`)
+	queued := make(chan string, 1)
+	go func() {
+		_, reason, _ := f.call(t, "GET", "/work/s/k", "", HeaderSlice+": a/1", HeaderFence+": 1.1")
+		queued <- reason
+	}()
+	eventually(t, "one waits", func() bool { return f.queued.Load() == 1 })
+	f.call(t, "PUT", "/v1/grants", `{"revoke":["a/1"]}`)
+	release()
+	if reason := <-queued; reason != string(ReasonLapsed) {
+		t.Errorf("reason %q", reason)
+	}
+}
+
+func TestCancellation(t *testing.T) {
+	cancelState := func(t *testing.T, f *fixture, id string) CancelState {
+		t.Helper()
+		_, _, body := f.call(t, "DELETE", "/v1/running/"+id+"/1", "")
+		var m CancelMessage
+		if err := json.Unmarshal([]byte(body), &m); err != nil {
+			t.Fatalf("%q: %v", body, err)
+		}
+		return m.State
+	}
+	f := start(t, Config{Slots: 1, ServiceTimes: times(endless)})
+	defer f.occupy(t, "running")()
+	queued := make(chan string, 1)
+	go func() {
+		_, reason, _ := f.call(t, "POST", "/work/s/k", "", HeaderRequestID+": waiting", HeaderAttempt+": 1")
+		queued <- reason
+	}()
+	eventually(t, "one waits", func() bool { return f.queued.Load() == 1 })
+	if state := cancelState(t, f, "waiting"); state != CancelledState {
+		t.Errorf("waiting: %q", state)
+	}
+	if reason := <-queued; reason != string(ReasonCancelled) {
+		t.Errorf("waiting: reason %q", reason)
+	}
+	if state := cancelState(t, f, "running"); state != FinishedState {
+		t.Errorf("running: %q", state)
+	}
+	eventually(t, "the end is logged", func() bool { return len(f.log.After(0)) == 2 })
+	if got := f.log.After(1)[0].Outcome; got != execlog.Cancelled {
+		t.Errorf("running: outcome %q", got)
+	}
+	if state := cancelState(t, f, "late"); state != UnknownState {
+		t.Errorf("not arrived: %q", state)
+	}
+	_, reason, _ := f.call(t, "POST", "/work/s/k", "", HeaderRequestID+": late", HeaderAttempt+": 1")
+	if reason != string(ReasonCancelled) {
+		t.Errorf("arrived after its cancellation: reason %q", reason)
+	}
+}
+
+func TestFrozenTargetAnswersNothingAndReturns(t *testing.T) {
+	f := start(t, Config{ServiceTimes: times(quick)})
+	f.SetFaults(FaultsMessage{Frozen: true})
+	answered := make(chan int, 2)
+	for _, path := range []string{"/health", "/work/s/k"} {
+		go func() {
+			status, _, _ := f.call(t, "GET", path, "")
+			answered <- status
+		}()
+	}
+	select {
+	case <-answered:
+		t.Error("answered while frozen")
+	case <-time.After(50 * time.Millisecond):
+	}
+	if n := len(f.log.After(0)); n != 0 {
+		t.Errorf("%d lines logged while frozen", n)
+	}
+	if status, _, _ := f.call(t, "POST", "/admin/faults", `{}`); status != http.StatusNoContent {
+		t.Errorf("thaw: status %d", status)
+	}
+	for range 2 {
+		if status := <-answered; status != http.StatusOK {
+			t.Errorf("after the thaw: status %d", status)
+		}
+	}
+}
+
+func TestPoisonCrashesAndIsLogged(t *testing.T) {
+	crashed := make(chan struct{}, 1)
+	f := start(t, Config{PoisonKey: "bad", Crash: func() { crashed <- struct{}{}; panic(http.ErrAbortHandler) }})
+	f.call(t, "GET", "/work/s/bad", "")
+	select {
+	case <-crashed:
+	case <-time.After(testDeadline):
+		t.Fatal("no crash")
+	}
+	if last := f.log.After(1); len(last) == 0 || last[0].Outcome != execlog.Crashed {
+		t.Errorf("log %v", f.log.After(0))
+	}
+}
+
+func TestMisleadingReports(t *testing.T) {
+	f := start(t, Config{Slots: 2, Queue: 5, ServiceTimes: times(endless)})
+	defer f.occupy(t, "holder")()
+	for lie, want := range map[Lie]HealthMessage{
+		"":      {State: Ready, Running: 1},
+		LieIdle: {State: Ready},
+		LieBusy: {State: Ready, Running: 2, Queued: 5},
+	} {
+		f.SetFaults(FaultsMessage{Lie: lie})
+		_, _, body := f.call(t, "GET", "/health", "")
+		var got HealthMessage
+		if err := json.Unmarshal([]byte(body), &got); err != nil {
+			t.Fatal(err)
+		}
+		want.Incarnation = f.Incarnation()
+		if got != want {
+			t.Errorf("lie %q: got %+v, want %+v", lie, got, want)
+		}
+	}
+}
+
+func TestSlowness(t *testing.T) {
+	f := start(t, Config{ColdTime: 100 * time.Second, ColdFactor: 5})
+	at := func(age time.Duration) float64 {
+		f.started = time.Now().Add(-age)
+		return f.slowness()
+	}
+	near := func(got, want float64) bool { return got > want-0.01 && got < want+0.01 }
+	for age, want := range map[time.Duration]float64{0: 5, 50 * time.Second: 3, 100 * time.Second: 1, time.Hour: 1} {
+		if got := at(age); !near(got, want) {
+			t.Errorf("%v after the start: slowness %v, want %v", age, got, want)
+		}
+	}
+	f.SetFaults(FaultsMessage{Multiplier: 3})
+	if got := at(time.Hour); !near(got, 3) {
+		t.Errorf("with a multiplier: slowness %v", got)
+	}
+}
+
+func TestAnnouncement(t *testing.T) {
+	announced := make(chan AnnounceMessage, 1)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var m AnnounceMessage
+		if err := json.NewDecoder(r.Body).Decode(&m); err != nil || r.URL.Path != "/v1/announce" {
+			t.Errorf("announcement to %s: %v", r.URL.Path, err)
+		}
+		announced <- m
+		_, _ = io.WriteString(w, `{"node":"n1","stop":true}`)
+	}))
+	defer node.Close()
+	f := start(t, Config{
+		Node: node.URL, Address: "127.0.0.1:1", Slots: 12, CheckFences: true, Services: []string{"s"},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Announce(ctx) }()
+	got := <-announced
+	if got.Name != "t1" || got.Incarnation != f.Incarnation() || got.Slots != 12 || !got.ChecksFences ||
+		got.Address != "127.0.0.1:1" || strings.Join(got.Services, " ") != "s" {
+		t.Errorf("announced %+v", got)
+	}
+	eventually(t, "the target drains when the node asks it to stop", func() bool { return f.State() == Draining })
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
