--- a/standin/execlog/execlog.go
+++ b/standin/execlog/execlog.go
@@ -37,6 +37,9 @@
 	Cut Outcome = "cut"
 	// Cancelled means that the caller gave up while the work ran.
 	Cancelled Outcome = "cancelled"
+	// Lapsed means that the grant lapsed meanwhile, so that a target that checks fences did
+	// not let the work take effect.
+	Lapsed Outcome = "lapsed"
 	// Crashed is written before the process ends by a poisonous request.
 	Crashed Outcome = "crashed"
 )
--- a/standin/target/faults_test.go
+++ b/standin/target/faults_test.go
@@ -130,6 +130,29 @@
 	}
 }
 
+// TestGrantLapsesWhileFrozen freezes a checking target while it runs a request and takes
+// its grant away: the work must not take effect when the target returns.
+func TestGrantLapsesWhileFrozen(t *testing.T) {
+	f := start(t, Config{CheckFences: true, ServiceTimes: times(50 * time.Millisecond)})
+	f.call(t, "PUT", "/v1/grants", `{"grants":[{"slice":"a/1","fence":"1.1","remaining_ms":60000}]}`)
+	status := make(chan int, 1)
+	go func() {
+		got, _, _ := f.call(t, "POST", "/work/s/k/long", "", HeaderSlice+": a/1", HeaderFence+": 1.1")
+		status <- got
+	}()
+	eventually(t, "it runs", func() bool { return len(f.log.After(0)) == 1 })
+	f.SetFaults(FaultsMessage{Frozen: true})
+	f.grants.revoke("a/1")
+	f.SetFaults(FaultsMessage{})
+	if got := <-status; got != 0 {
+		t.Errorf("status %d, want no answer", got)
+	}
+	eventually(t, "the end is logged", func() bool { return len(f.log.After(0)) == 2 })
+	if got := f.log.After(1)[0].Outcome; got != execlog.Lapsed {
+		t.Errorf("outcome %q", got)
+	}
+}
+
 func TestCancellation(t *testing.T) {
 	cancelState := func(t *testing.T, f *fixture, id string) CancelState {
 		t.Helper()
