--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/auburnrelay/auburnrelay/core/admission"
 	"github.com/auburnrelay/auburnrelay/core/balance"
 	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
@@ -92,6 +93,10 @@
 		return err
 	}
 	ownerConfig := owner.DefaultConfig(regionNodes, bootclock.Now, n.log.With("part", "owner"))
+	if s.Load.Discipline == settings.DisciplineFirstCome {
+		ownerConfig.Admission = admission.BaselinePolicy()
+		ownerConfig.Pacing.LinkBits = unpacedBits
+	}
 	ownerConfig.Metrics = metrics
 	ownerConfig.MaxConcurrent = s.Target.MaxConnections
 	n.link = link
@@ -99,6 +104,9 @@
 	return err
 }
 
+// unpacedBits is a link rate in bits per second that paces nothing.
+const unpacedBits = 1e12
+
 // regionNodes is the number of nodes that share a region's link.
 const regionNodes = 4
 
--- a/node/settings/defaults.go
+++ b/node/settings/defaults.go
@@ -51,6 +51,7 @@
 
 func defaultLoad() LoadPolicy {
 	return LoadPolicy{
+		Discipline:      DisciplineProtected,
 		ShortReserved:   0.34,
 		LongWork:        Duration(time.Second),
 		QueueDelay:      Duration(50 * time.Millisecond),
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -104,8 +104,19 @@
 	}
 }
 
+// Disciplines of admission.
+const (
+	// DisciplineProtected applies the whole load policy.
+	DisciplineProtected = "protected"
+	// DisciplineFirstCome serves in order of arrival, sheds nothing and paces nothing; it is
+	// the baseline of measurements.
+	DisciplineFirstCome = "first-come"
+)
+
 // LoadPolicy is the policy of admission and balance.
 type LoadPolicy struct {
+	// Discipline is DisciplineProtected or DisciplineFirstCome.
+	Discipline string `toml:"discipline" validate:"oneof=protected first-come"`
 	// ShortReserved is the share of a target's slots that long work may not take.
 	ShortReserved float64 `toml:"short_reserved" validate:"gte=0,lt=1"`
 	// LongWork is the work time from which a request counts as long.
--- /dev/null
+++ b/standin/cmd/measure/main.go
@@ -0,0 +1,43 @@
+// Command measure runs the whole system under load and prints what it measured.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnrelay/auburnrelay/standin/measure"
+)
+
+func main() {
+	options := measure.Options{Out: os.Stdout}
+	c := &cobra.Command{
+		Use:           "measure --bin FOLDER",
+		Short:         "Measure both deployments under load, against the baseline",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return measure.Run(ctx, options)
+		},
+	}
+	flags := c.Flags()
+	flags.StringVar(&options.Bin, "bin", "build", "folder of the built programs")
+	flags.StringVar(&options.Profile, "profile", "", "horsebox or lending; empty for both")
+	flags.StringVar(&options.Scenario, "scenario", "",
+		"overhead, crest, head-of-line, slow-target, region-link or imbalance; empty for all")
+	flags.BoolVar(&options.Short, "short", false, "take a fifth of the time, to check that the measurements work")
+	flags.BoolVar(&options.NoBaseline, "no-baseline", false, "leave the baseline out")
+	flags.BoolVar(&options.Keep, "keep", false, "keep settings and logs")
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the load")
+	if err := c.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "measure failed:", err)
+		os.Exit(1)
+	}
+}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -50,13 +51,14 @@
 
 func (g *generator) run(ctx context.Context) {
 	arrivals := newSchedule(g.plan)
+	entries := rand.New(rand.NewPCG(g.plan.Seed, ^g.plan.Seed))
 	start := time.Now()
 	for {
 		a, ok := arrivals.next()
 		if !ok || !sleepUntil(ctx, start.Add(a.at)) {
 			break
 		}
-		entry := g.plan.Entries[arrivals.random.IntN(len(g.plan.Entries))]
+		entry := g.plan.Entries[entries.IntN(len(g.plan.Entries))]
 		if g.inFlight.Load() >= int64(g.plan.MaxInFlight) {
 			g.recorder.record(a, end{outcome: Dropped, reason: "too many under way"})
 			continue
--- a/standin/load/schedule.go
+++ b/standin/load/schedule.go
@@ -80,3 +80,14 @@
 	index := rank % keys.Count
 	return keys.Prefixes[index%len(keys.Prefixes)] + strconv.Itoa(index)
 }
+
+// Draw calls visit for each request that Run would send.
+func Draw(plan Plan, visit func(phase int, key string)) {
+	if plan.provision() != nil {
+		return
+	}
+	s := newSchedule(&plan)
+	for a, ok := s.next(); ok; a, ok = s.next() {
+		visit(a.phase, a.key)
+	}
+}
--- /dev/null
+++ b/standin/measure/measure.go
@@ -0,0 +1,289 @@
+// Package measure runs the whole system as separate processes under load and prints what
+// it measured, one line a figure:
+//
+//	measure NAME value UNIT baseline=VALUE target=VALUE
+//
+// The baseline is the same fleet with first come, first served admission, without shedding
+// and pacing; for balance it is a plain hash of the keys over the targets.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/load"
+)
+
+// ErrNothing reports options that select no scenario.
+var ErrNothing = errors.New("no such profile or scenario")
+
+// ErrRefused reports a stand-in that did not take an order.
+var ErrRefused = errors.New("refused by a stand-in")
+
+const (
+	inForceLimit = 20 * time.Second
+	readyLimit   = 30 * time.Second
+	readyCalls   = 20
+	// settle is the time for placement after the start of a fleet.
+	settle = 10 * time.Second
+)
+
+// Options says what to measure.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Out receives the figures.
+	Out io.Writer
+	// Profile and Scenario select one; empty means all.
+	Profile  string
+	Scenario string
+	// Short divides all times; it checks only that the measurements work.
+	Short bool
+	// NoBaseline leaves the baseline out.
+	NoBaseline bool
+	// Keep keeps settings and logs.
+	Keep bool
+	// Seed seeds the load.
+	Seed uint64
+}
+
+// scenario measures some figures on a running fleet.
+type scenario struct {
+	name string
+	run  func(b *bench) ([]figure, error)
+	// noBaseline tells that the scenario computes its baseline itself.
+	noBaseline bool
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		{name: "crest", run: crest},
+		{name: "head-of-line", run: headOfLine},
+		{name: "slow-target", run: slowTarget},
+		{name: "region-link", run: regionLink},
+		{name: "imbalance", run: imbalance, noBaseline: true},
+	}
+}
+
+// Run measures and prints.
+func Run(ctx context.Context, o Options) error {
+	ran := 0
+	if o.selects("", "overhead") {
+		ran++
+		if err := overhead(ctx, o); err != nil {
+			return err
+		}
+	}
+	for _, p := range Profiles() {
+		n, err := runProfile(ctx, o, p)
+		if err != nil {
+			return errors.Wrapf(err, "profile %s", p.Name)
+		}
+		ran += n
+	}
+	if ran == 0 {
+		return ErrNothing
+	}
+	return nil
+}
+
+func (o Options) selects(profile, scenario string) bool {
+	return (o.Profile == "" || o.Profile == profile) && (o.Scenario == "" || o.Scenario == scenario)
+}
+
+// runProfile runs each scenario on a fleet of its own, with the policy and as baseline.
+func runProfile(ctx context.Context, o Options, p Profile) (int, error) {
+	ran := 0
+	for _, s := range scenarios() {
+		if !o.selects(p.Name, s.name) {
+			continue
+		}
+		ran++
+		figures, err := runOn(ctx, o, p, s, "")
+		if err != nil {
+			return ran, errors.Wrap(err, s.name)
+		}
+		if !o.NoBaseline && !s.noBaseline {
+			baseline, err := runOn(ctx, o, p, s, baselineSettings)
+			if err != nil {
+				return ran, errors.Wrapf(err, "baseline of %s", s.name)
+			}
+			addBaseline(figures, baseline)
+		}
+		for _, f := range figures {
+			fmt.Fprintf(o.Out, "measure %s.%s\n", p.Name, f)
+		}
+	}
+	return ran, nil
+}
+
+const baselineSettings = "[load]\ndiscipline = \"first-come\"\n"
+
+func runOn(ctx context.Context, o Options, p Profile, s scenario, settings string) ([]figure, error) {
+	b, err := open(ctx, o, p, settings)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	return s.run(b)
+}
+
+// bench is a running fleet of a profile.
+type bench struct {
+	options Options
+	profile Profile
+	fleet   *fleet.Fleet
+	context context.Context
+}
+
+// open starts the profile's fleet and waits until it serves.
+func open(ctx context.Context, o Options, p Profile, settings string) (*bench, error) {
+	dir, err := os.MkdirTemp("", "auburnrelay-measure-")
+	if err != nil {
+		return nil, errors.Wrap(err, "folder of the measurement")
+	}
+	f, err := fleet.Start(fleet.Plan{Bin: o.Bin, Dir: dir, VMs: p.vms(), Settings: settings, Network: p.network()})
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{options: o, profile: p, fleet: f, context: ctx}
+	if err := b.prepare(); err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bench) close() {
+	b.fleet.KillAll()
+	if !b.options.Keep {
+		_ = os.RemoveAll(b.fleet.Dir)
+	}
+}
+
+func (b *bench) prepare() error {
+	if err := b.applySheet(b.profile.sheet()); err != nil {
+		return err
+	}
+	time.Sleep(b.scaled(settle))
+	return fleet.Await(readyLimit, b.serves)
+}
+
+func (b *bench) applySheet(text string) error {
+	path := filepath.Join(b.fleet.Dir, "sheet.csv")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "write sheet")
+	}
+	if _, err := b.fleet.Relay("sheet", "apply", path); err != nil {
+		return err
+	}
+	_, err := b.fleet.InForce(1, inForceLimit)
+	return err
+}
+
+// serves tells whether a few requests of each kind are all answered.
+func (b *bench) serves() bool {
+	result, err := b.load(b.plan(load.Phase{Name: "ready", Duration: load.Duration(time.Second), Rate: readyCalls},
+		b.short(keyed, 1), b.short(shared, 1)))
+	if err != nil {
+		return false
+	}
+	for _, tally := range result.Phases[0].Kinds {
+		if tally.Outcomes[load.Answered] != tally.Sent {
+			return false
+		}
+	}
+	return true
+}
+
+// scaled shortens a duration in the short form.
+func (b *bench) scaled(d time.Duration) time.Duration {
+	if b.options.Short {
+		return d / 5
+	}
+	return d
+}
+
+func (b *bench) phase(name string, d time.Duration, rate float64) load.Phase {
+	return load.Phase{Name: name, Duration: load.Duration(b.scaled(d)), Rate: rate}
+}
+
+// short is the kind of short work of a service, with its share of the requests.
+func (b *bench) short(service string, share float64) load.Kind {
+	return load.Kind{
+		Name: service, Service: service, Method: "POST", Share: share, Deadline: load.Duration(b.profile.Deadline),
+	}
+}
+
+// plan is a plan of one phase whose callers use all nodes.
+func (b *bench) plan(phase load.Phase, kinds ...load.Kind) load.Plan {
+	return load.Plan{
+		Entries:     b.entries(nil),
+		Seed:        b.options.Seed,
+		Keys:        load.KeyPlan{Prefixes: prefixes},
+		Kinds:       kinds,
+		Phases:      []load.Phase{phase},
+		CallerDelay: load.Duration(b.profile.CallerDelay),
+	}
+}
+
+// entries returns the entry URLs of the VMs named, of all if none is.
+func (b *bench) entries(names []string) []string {
+	var urls []string
+	for _, vm := range b.fleet.VMs {
+		if names == nil || slices.Contains(names, vm.Name) {
+			urls = append(urls, b.fleet.EntryURL(vm.Name))
+		}
+	}
+	return urls
+}
+
+func (b *bench) load(plan load.Plan) (load.Result, error) {
+	result, err := load.Run(b.context, plan)
+	if err == nil && b.context.Err() != nil {
+		err = b.context.Err()
+	}
+	return result, err
+}
+
+// figure is one measured value.
+type figure struct {
+	name     string
+	value    float64
+	unit     string
+	baseline string
+	target   string
+	// note tells how the value came about.
+	note string
+}
+
+// String returns the figure as it is printed.
+func (f figure) String() string {
+	baseline := f.baseline
+	if baseline == "" {
+		baseline = "none"
+	}
+	line := fmt.Sprintf("%s %s %s baseline=%s target=%s", f.name, format(f.value), f.unit, baseline, f.target)
+	return strings.TrimRight(line+" "+f.note, " ")
+}
+
+func format(v float64) string { return fmt.Sprintf("%.3g", v) }
+
+func addBaseline(figures, baseline []figure) {
+	for i := range figures {
+		for _, other := range baseline {
+			if other.name == figures[i].name {
+				figures[i].baseline = format(other.value)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/standin/measure/overhead.go
@@ -0,0 +1,198 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/fleet"
+	"github.com/auburnrelay/auburnrelay/standin/load"
+)
+
+const (
+	// quickTime is the service time of the target whose latency is compared.
+	quickTime = time.Millisecond
+	quickRate = 300
+	// busyRate is the rate at which the nodes' processor time is measured.
+	busyRate  = 2000
+	busySlots = 64
+	// ticksPerSecond is the unit of processor times in /proc, fixed by Linux.
+	ticksPerSecond = 100
+	// statFields is the number of fields in /proc/PID/stat before the user time, after the
+	// name of the program.
+	statFields = 11
+
+	ownerVM = "owner"
+	entryVM = "entry"
+)
+
+// way is one way to the target.
+type way struct {
+	name string
+	// plan changes the plan to go this way.
+	plan func(o overheadBench, plan *load.Plan)
+}
+
+func ways() []way {
+	return []way{
+		{"direct", func(o overheadBench, p *load.Plan) {
+			p.Entries, p.PathPrefix = []string{o.fleet.TargetURL(ownerVM)}, "/work/"
+		}},
+		{"one-hop", func(o overheadBench, p *load.Plan) { p.Entries = []string{o.fleet.EntryURL(ownerVM)} }},
+		{"two-hops", func(o overheadBench, p *load.Plan) { p.Entries = []string{o.fleet.EntryURL(entryVM)} }},
+	}
+}
+
+// overhead compares the latency through one hop and two hops with that of the target called
+// directly, and counts the requests for each second of a core that the nodes use. The fleet
+// has one target, so that its node owns all keys, and a second node without a target.
+func overhead(ctx context.Context, o Options) error {
+	b, err := openOverhead(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	latency := make(map[string]load.Latency)
+	for _, w := range ways() {
+		if latency[w.name], err = b.latency(w); err != nil {
+			return errors.Wrap(err, w.name)
+		}
+	}
+	direct := latency["direct"]
+	for _, name := range []string{"one-hop", "two-hops"} {
+		b.print(figure{
+			name: "overhead." + name + ".added-p50", value: latency[name].P50 - direct.P50, unit: "ms", target: "none",
+			baseline: format(direct.P50), note: fmt.Sprintf("(through %s, direct %s)", format(latency[name].P50), format(direct.P50)),
+		})
+		b.print(figure{
+			name: "overhead." + name + ".added-p99", value: latency[name].P99 - direct.P99, unit: "ms", target: "none",
+			baseline: format(direct.P99), note: fmt.Sprintf("(through %s, direct %s)", format(latency[name].P99), format(direct.P99)),
+		})
+	}
+	for _, w := range ways()[1:] {
+		if err := b.throughput(w); err != nil {
+			return errors.Wrap(err, w.name)
+		}
+	}
+	return nil
+}
+
+type overheadBench struct {
+	bench
+}
+
+func openOverhead(ctx context.Context, o Options) (overheadBench, error) {
+	dir, err := os.MkdirTemp("", "auburnrelay-measure-")
+	if err != nil {
+		return overheadBench{}, errors.Wrap(err, "folder of the measurement")
+	}
+	args := []string{"--work", "default=" + quickTime.String(), "--queue", "1000"}
+	p := Profile{Deadline: time.Second, Near: region{name: "near"}, Far: region{name: "far"}}
+	f, err := fleet.Start(fleet.Plan{
+		Bin: o.Bin, Dir: dir,
+		Settings: "[target]\nmax_connections = " + strconv.Itoa(busySlots) + "\n",
+		VMs: []fleet.VM{
+			{Name: ownerVM, Region: p.Near.name, FailureDomain: "a", Slots: busySlots, TargetArgs: args},
+			{Name: entryVM, Region: p.Near.name, FailureDomain: "b", NoTarget: true},
+		},
+	})
+	if err != nil {
+		return overheadBench{}, err
+	}
+	b := overheadBench{bench{options: o, profile: p, fleet: f, context: ctx}}
+	if err := b.prepare(); err != nil {
+		b.close()
+		return overheadBench{}, err
+	}
+	return b, nil
+}
+
+func (b overheadBench) prepare() error {
+	sheet := "service,kind,from,to,region,cell,targets,slices\n" + keyed + ",keyed,,,near,,,64\n"
+	if err := b.applySheet(sheet); err != nil {
+		return err
+	}
+	return fleet.Await(readyLimit, func() bool {
+		result, err := b.load(b.planFor(ways()[2], time.Second, readyCalls))
+		tally := result.Phases[0].Kinds[keyed]
+		return err == nil && tally.Outcomes[load.Answered] == tally.Sent
+	})
+}
+
+func (b overheadBench) print(f figure) { fmt.Fprintf(b.options.Out, "measure %s\n", f) }
+
+func (b overheadBench) planFor(w way, d time.Duration, rate float64) load.Plan {
+	plan := b.plan(b.phase(w.name, d, rate), b.short(keyed, 1))
+	w.plan(b, &plan)
+	return plan
+}
+
+func (b overheadBench) latency(w way) (load.Latency, error) {
+	plan := b.planFor(w, 2*time.Second, quickRate)
+	plan.Phases = append(plan.Phases, b.phase("measured", 10*time.Second, quickRate))
+	result, err := b.load(plan)
+	if err != nil {
+		return load.Latency{}, err
+	}
+	return result.Phases[1].Kinds[keyed].Latency, nil
+}
+
+func (b overheadBench) throughput(w way) error {
+	before, err := b.processorTime()
+	if err != nil {
+		return err
+	}
+	result, err := b.load(b.planFor(w, 10*time.Second, busyRate))
+	if err != nil {
+		return err
+	}
+	after, err := b.processorTime()
+	if err != nil {
+		return err
+	}
+	tally := result.Phases[0].Kinds[keyed]
+	used := (after - before).Seconds()
+	b.print(figure{
+		name: "overhead." + w.name + ".requests-per-core-second", value: float64(tally.Outcomes[load.Answered]) / used,
+		unit: "requests", target: "none",
+		note: fmt.Sprintf("(%d of %d answered, %.2f s of a core in all nodes, late starts %d)",
+			tally.Outcomes[load.Answered], tally.Sent, used, result.LateStarts),
+	})
+	return nil
+}
+
+// processorTime returns the processor time that the nodes have used so far.
+func (b overheadBench) processorTime() (time.Duration, error) {
+	var sum time.Duration
+	for _, node := range b.fleet.Nodes {
+		used, err := processorTimeOf(node.PID())
+		if err != nil {
+			return 0, err
+		}
+		sum += used
+	}
+	return sum, nil
+}
+
+// processorTimeOf reads the user and system time of a process that the bench started.
+func processorTimeOf(pid int) (time.Duration, error) {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, errors.Wrap(err, "processor time")
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	var ticks int64
+	for _, field := range fields[statFields : statFields+2] {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, "processor time")
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
+}
--- /dev/null
+++ b/standin/measure/slowtarget.go
@@ -0,0 +1,103 @@
+package measure
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/standin/load"
+	"github.com/auburnrelay/auburnrelay/standin/target"
+)
+
+const (
+	// halfLoad leaves room for the work of a slow target.
+	halfLoad = 0.5
+	slowBy   = 3
+)
+
+// slowTarget makes one target of each service three times slower, the shared one also lies
+// about its load, and compares the work of the others with the usual.
+func slowTarget(b *bench) ([]figure, error) {
+	usual, err := b.bothServices("usual")
+	if err != nil {
+		return nil, err
+	}
+	slow := target.FaultsMessage{Multiplier: slowBy}
+	lying := target.FaultsMessage{Multiplier: slowBy, Lie: target.LieIdle}
+	if err := b.setFaults("desk-1", slow); err != nil {
+		return nil, err
+	}
+	if err := b.setFaults("hub-1", lying); err != nil {
+		return nil, err
+	}
+	hurt, err := b.bothServices("slow")
+	if err != nil {
+		return nil, err
+	}
+	desks := []string{"desk-2", "desk-3", "desk-4", "desk-5"}
+	hubs := []string{"hub-2", "hub-3", "hub-4"}
+	return []figure{
+		othersFigure("slow-target.keyed-others", desks, usual, hurt),
+		othersFigure("slow-target.shared-others", hubs, usual, hurt),
+		allFigure("slow-target.shared-all", shared, usual, hurt),
+	}, nil
+}
+
+func (b *bench) bothServices(name string) (load.PhaseResult, error) {
+	keyedRate, sharedRate := halfLoad*b.profile.keyedCapacity(), halfLoad*b.profile.sharedCapacity()
+	rate := keyedRate + sharedRate
+	plan := b.plan(b.phase("learn", learnTime, rate), b.short(keyed, keyedRate), b.short(shared, sharedRate))
+	plan.Phases = append(plan.Phases, b.phase(name, 15*time.Second, rate))
+	result, err := b.load(plan)
+	if err != nil {
+		return load.PhaseResult{}, err
+	}
+	return result.Phases[1], nil
+}
+
+// othersFigure compares the worst p99 among the targets named.
+func othersFigure(name string, targets []string, usual, hurt load.PhaseResult) figure {
+	worst := func(r load.PhaseResult) float64 {
+		var p99 float64
+		for name, latency := range r.TargetLatency {
+			if slices.Contains(targets, name) {
+				p99 = max(p99, latency.P99)
+			}
+		}
+		return p99
+	}
+	return figure{
+		name: name, value: worst(hurt) / worst(usual), unit: "times", target: "<=1.2",
+		note: fmt.Sprintf("(worst p99 of the others %s ms, usually %s ms)", format(worst(hurt)), format(worst(usual))),
+	}
+}
+
+func allFigure(name, kind string, usual, hurt load.PhaseResult) figure {
+	with, without := hurt.Kinds[kind], usual.Kinds[kind]
+	return figure{
+		name: name, value: with.Latency.P99 / without.Latency.P99, unit: "times", target: "none",
+		note: fmt.Sprintf("(p99 %s ms, usually %s ms; not in time %d of %d)", format(with.Latency.P99),
+			format(without.Latency.P99), with.Sent-with.InTime, with.Sent),
+	}
+}
+
+func (b *bench) setFaults(vm string, faults target.FaultsMessage) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return errors.Wrap(err, "encode faults")
+	}
+	response, err := http.Post(b.fleet.TargetURL(vm)+"/admin/faults", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "faults of %s", vm)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return errors.Wrapf(ErrRefused, "faults of %s: status %d", vm, response.StatusCode)
+	}
+	return nil
+}
