--- a/core/cell/effects.go
+++ b/core/cell/effects.go
@@ -74,6 +74,13 @@
 // DrainSlice tells the request side to hand a slice back; SliceDrained follows.
 type DrainSlice struct{ Slice keyspace.SliceID }
 
+// AbandonSlices asks the request side to give up slices at once, unless the target may still
+// hold a grant; SlicesAbandoned follows if it did.
+type AbandonSlices struct {
+	Slices []keyspace.SliceID
+	Reason string
+}
+
 // TableChanged tells that a route may have changed.
 type TableChanged struct{}
 
@@ -109,6 +116,7 @@
 func (AdoptLeases) effect()     {}
 func (EndLeases) effect()       {}
 func (DrainSlice) effect()      {}
+func (AbandonSlices) effect()   {}
 func (TableChanged) effect()    {}
 func (ProbePeer) effect()       {}
 func (ProbeTarget) effect()     {}
--- a/core/cell/events.go
+++ b/core/cell/events.go
@@ -87,6 +87,9 @@
 	Window []byte
 }
 
+// SlicesAbandoned tells that slices were given up as AbandonSlices asked.
+type SlicesAbandoned struct{ Slices []keyspace.SliceID }
+
 // PeerGone tells that the process is known to have ended: its VM refused the connection or
 // its address answered under another incarnation.
 type PeerGone struct{ Node Node }
@@ -115,6 +118,7 @@
 func (CellsRead) event()         {}
 func (TargetReported) event()    {}
 func (SliceDrained) event()      {}
+func (SlicesAbandoned) event()   {}
 func (PeerGone) event()          {}
 func (TargetGone) event()        {}
 func (ClockJumped) event()       {}
--- a/core/cell/holder.go
+++ b/core/cell/holder.go
@@ -324,17 +324,24 @@
 		return
 	}
 	delete(h.draining, e.Slice)
-	if l := h.held[e.Slice]; l != nil && f.Less(l.fence) {
+	m.giveBack(e.Slice, f, e.Window)
+	m.emit(TableChanged{})
+	m.heartbeatTick()
+}
+
+// giveBack releases a slice under the highest of f and the fences that it is held or granted
+// under.
+func (m *Machine) giveBack(id keyspace.SliceID, f fence.Fence, window []byte) {
+	h := &m.holder
+	if l := h.held[id]; l != nil && f.Less(l.fence) {
 		f = l.fence
 	}
-	if g, ok := h.set[e.Slice]; ok && f.Less(g.Fence) {
+	if g, ok := h.set[id]; ok && f.Less(g.Fence) {
 		f = g.Fence
 	}
-	h.refused[e.Slice] = f
-	h.released[e.Slice] = Release{Slice: e.Slice, Fence: f, Window: e.Window}
-	delete(h.held, e.Slice)
-	delete(h.set, e.Slice)
+	h.refused[id] = f
+	h.released[id] = Release{Slice: id, Fence: f, Window: window}
+	delete(h.held, id)
+	delete(h.set, id)
 	h.beatSoon = true
-	m.emit(TableChanged{})
-	m.heartbeatTick()
 }
--- a/core/cell/holder_test.go
+++ b/core/cell/holder_test.go
@@ -15,6 +15,8 @@
 	beats []Heartbeat
 	held  map[keyspace.SliceID]Adoption
 	drain int
+	// abandon lists the slices that the machine last asked to give up.
+	abandon []keyspace.SliceID
 }
 
 var testSlice = keyspace.SliceID{Range: 7, Index: 1}
@@ -48,6 +50,8 @@
 			}
 		case DrainSlice:
 			l.drain++
+		case AbandonSlices:
+			l.abandon = f.Slices
 		}
 	}
 }
@@ -157,3 +161,33 @@
 		}
 	}
 }
+
+// TestAbandonForSuspectTarget checks that a node asks to give up its slices for a suspect
+// target, for one that checks fences only, and gives back what was given up for good.
+func TestAbandonForSuspectTarget(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		l := newLone(func(*guards) {}, true)
+		l.step(TargetReported{Target: Target{State: TargetReady, Incarnation: 1, ChecksFences: checks}})
+		l.beat()
+		granted := fence.Fence{Epoch: 1, Seq: 5}
+		l.grant(granted, func(*Answer) {})
+		l.step(TargetReported{Target: Target{State: TargetSuspect, Incarnation: 1, ChecksFences: checks}})
+		l.step(Tick{})
+		if asked := len(l.abandon) == 1; asked != checks {
+			t.Errorf("target checks fences: %v, asked to give up: %v", checks, asked)
+		}
+		if !checks {
+			continue
+		}
+		delete(l.held, testSlice)
+		l.step(SlicesAbandoned{Slices: l.abandon})
+		released := l.beats[len(l.beats)-1].Released
+		if len(released) != 1 || released[0].Fence != granted || released[0].Window != nil {
+			t.Errorf("released %v", released)
+		}
+		l.grant(granted, func(*Answer) {})
+		if len(l.held) != 0 {
+			t.Error("adopted again under the fence that was given back")
+		}
+	}
+}
--- a/core/cell/machine.go
+++ b/core/cell/machine.go
@@ -144,6 +144,8 @@
 		m.targetReported(e)
 	case SliceDrained:
 		m.sliceDrained(e)
+	case SlicesAbandoned:
+		m.slicesAbandoned(e)
 	case PeerGone:
 		m.peerGone(e.Node)
 	case TargetGone:
@@ -163,6 +165,7 @@
 
 func (m *Machine) tick() {
 	m.holderTick()
+	m.abandonTick()
 	m.readTick()
 	m.standbyTick()
 	m.controllerTick()
--- a/core/cell/walk_test.go
+++ b/core/cell/walk_test.go
@@ -15,6 +15,7 @@
 // walkWorld builds a world of one or two cells with faults drawn from the seed.
 func walkWorld(seed uint64) *world {
 	w := newWorld(seed)
+	w.abandons = true
 	w.chaos = chaos{
 		lose: 0.02, late: 0.03, duplicate: 0.02, slowWrite: 0.08, loseWrite: 0.05, staleSheet: 0.1, pauseAtWrite: 0.03,
 		runFor: time.Second + time.Duration(w.rng.IntN(5000))*time.Millisecond,
--- a/core/cell/world_test.go
+++ b/core/cell/world_test.go
@@ -15,26 +15,28 @@
 // checks after each step that no slice has two holders, that fences grow, that the record
 // loses no assignment and that nothing older is applied.
 type world struct {
-	rng     *rand.Rand
-	t       time.Duration
-	queue   eventHeap
-	count   uint64
-	nodes   map[string]*simNode
-	names   []string
-	store   simStore
-	guards  guards
-	timing  Timing
-	holders map[keyspace.SliceID]simLease
-	fences  map[keyspace.SliceID]fence.Fence
-	running map[keyspace.SliceID]simRun
-	sheets  []*keyspace.Layout
-	cut     map[[2]string]bool
-	chaos   chaos
-	hook    func(from, to, kind string) (hold bool)
-	held    []heldMessage
-	bad     []string
-	log     []string
-	verbose bool
+	// abandons lets the request sides give up slices for suspect targets.
+	abandons bool
+	rng      *rand.Rand
+	t        time.Duration
+	queue    eventHeap
+	count    uint64
+	nodes    map[string]*simNode
+	names    []string
+	store    simStore
+	guards   guards
+	timing   Timing
+	holders  map[keyspace.SliceID]simLease
+	fences   map[keyspace.SliceID]fence.Fence
+	running  map[keyspace.SliceID]simRun
+	sheets   []*keyspace.Layout
+	cut      map[[2]string]bool
+	chaos    chaos
+	hook     func(from, to, kind string) (hold bool)
+	held     []heldMessage
+	bad      []string
+	log      []string
+	verbose  bool
 }
 
 // chaos has the shares of messages that meet a fault.
@@ -71,13 +73,15 @@
 	rate               float64
 	pausedUntil        time.Duration
 	target             Target
-	targetAlive        bool
-	watching           bool
-	seenCells          int64
-	sheet              int64
-	table              TableVersion
-	left               bool
-	drains             map[keyspace.SliceID]bool
+	// suspectAt is when the target was last sound.
+	suspectAt   time.Duration
+	targetAlive bool
+	watching    bool
+	seenCells   int64
+	sheet       int64
+	table       TableVersion
+	left        bool
+	drains      map[keyspace.SliceID]bool
 }
 
 type simObject struct {
@@ -188,6 +192,7 @@
 		return
 	}
 	if w.t >= n.pausedUntil {
+		w.noteSuspect(n)
 		w.step(n, inc, TargetReported{Target: n.target})
 		w.step(n, inc, Tick{})
 		w.startRuns(n)
@@ -299,6 +304,8 @@
 		for _, id := range e.Slices {
 			w.ended(n, id)
 		}
+	case AbandonSlices:
+		w.abandon(n, inc, e)
 	case DrainSlice:
 		n.drains[e.Slice] = true
 		w.drainLoop(n, inc, e.Slice)
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -44,6 +44,11 @@
 	}
 }
 
+func (h *fakeHolder) Abandon(slices []keyspace.SliceID, reason string) bool {
+	h.End(slices, reason)
+	return true
+}
+
 func (h *fakeHolder) Drain(slice keyspace.SliceID, done func([]byte)) {
 	h.mu.Lock()
 	delete(h.leases, slice)
@@ -267,3 +272,23 @@
 	}
 	_ = cell.TickInterval
 }
+
+// TestLapseDatesTheNextGrantAnew ends a node's leases, and with them the memory of request
+// ids. When it is granted the same assignment again, ids minted before must be refused.
+func TestLapseDatesTheNextGrantAnew(t *testing.T) {
+	store := memstore.New(memstore.Options{})
+	putSheet(t, store, 0, "alfold")
+	n := startNode(t, store, "vm-a", "debrecen", "alfold")
+	all := []*testNode{n}
+	waitFor(t, "served", 10*time.Second, func() bool { return served(t, all) == testSlices })
+	ended := time.Now()
+	n.control.post(cell.ClockJumped{})
+	waitFor(t, "granted again", 10*time.Second, func() bool {
+		for _, l := range n.holder.live() {
+			if l.FirstAt.Before(ended) {
+				return false
+			}
+		}
+		return served(t, all) == testSlices
+	})
+}
--- a/node/control/loop.go
+++ b/node/control/loop.go
@@ -101,6 +101,8 @@
 		c.adopt(e.Leases)
 	case cell.EndLeases:
 		c.end(e)
+	case cell.AbandonSlices:
+		c.abandon(e)
 	case cell.DrainSlice:
 		c.drain(e.Slice)
 	case cell.TableChanged:
@@ -156,9 +158,27 @@
 func (c *Control) end(e cell.EndLeases) {
 	c.metrics.ended.Add(float64(len(e.Slices)))
 	c.log.Warn("leases end", "slices", len(e.Slices), "first", e.Slices[0].String(), "reason", e.Reason)
+	c.forgetFirsts(e.Slices)
 	c.holder.End(e.Slices, e.Reason)
 }
 
+// abandon gives slices up if the request side may.
+func (c *Control) abandon(e cell.AbandonSlices) {
+	if !c.holder.Abandon(e.Slices, e.Reason) {
+		return
+	}
+	c.forgetFirsts(e.Slices)
+	c.local = append(c.local, cell.SlicesAbandoned{Slices: e.Slices})
+}
+
+// forgetFirsts dates the next grant of the slices anew: the ids that ran under the last one
+// are remembered no more.
+func (c *Control) forgetFirsts(slices []keyspace.SliceID) {
+	for _, id := range slices {
+		delete(c.firsts, id)
+	}
+}
+
 // drain hands a slice back. Its ids go with it, so a later grant to this process starts
 // without them.
 func (c *Control) drain(slice keyspace.SliceID) {
--- a/node/owner/grants.go
+++ b/node/owner/grants.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
+	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/node/target"
 )
 
@@ -17,9 +18,11 @@
 	grantRetry = 50 * time.Millisecond
 	// grantWait is how long a request waits for the target to learn of its grant.
 	grantWait = 300 * time.Millisecond
-	// grantSlack is the longest exchange whose grants are left as they are. A slower one may
-	// have lengthened them at the target, so they are sent again with what remains.
-	grantSlack = 100 * time.Millisecond
+	// grantHorizon is how far ahead the target is given grants. A frozen target's grants have
+	// lapsed that long after the last exchange, well before the leases.
+	grantHorizon = 1500 * time.Millisecond
+	// grantRefresh is how often grants are sent again.
+	grantRefresh = 500 * time.Millisecond
 )
 
 func (o *Owner) requestPush() {
@@ -31,10 +34,13 @@
 
 // sendGrants keeps a target that checks fences informed until ctx ends.
 func (o *Owner) sendGrants(ctx context.Context) {
+	refresh := time.NewTicker(grantRefresh)
+	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-refresh.C:
 		case <-o.push:
 		}
 		if o.sendOnce(ctx) {
@@ -64,7 +70,7 @@
 	if info.Address == "" {
 		return true
 	}
-	b := o.collect()
+	b := o.collect(info.ChecksFences)
 	if !info.ChecksFences {
 		o.settle(b, nil)
 		return true
@@ -74,28 +80,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	started := o.cfg.Clock()
 	refused, err := o.target.PutGrants(ctx, b.grants, b.revoke)
 	if err != nil {
 		o.putBack(b)
 		o.cfg.Logger.Warn("grants not delivered", "grants", len(b.grants), "reason", err.Error())
 		return false
 	}
-	if o.cfg.Clock()-started > grantSlack {
-		o.requestPush()
-	}
 	o.settle(b, refused)
 	return true
 }
 
-func (o *Owner) collect() batch {
+// collect gathers what the target must know. A target that checks fences and is suspect gets
+// no grant.
+func (o *Owner) collect(checks bool) batch {
 	now := o.cfg.Clock()
+	suspect := checks && o.target.Info().State == plane.TargetSuspect
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var b batch
+	limit := o.grantLimit(now, checks)
 	for id, s := range o.slices {
-		if remaining := s.remaining(now); remaining > 0 {
-			b.grants = append(b.grants, target.Grant{Slice: id, Fence: s.lease.Fence, Remaining: remaining})
+		if s.remaining(now) > 0 && !suspect {
+			until := min(now+s.remaining(now), limit)
+			o.grantedUntil = max(o.grantedUntil, until)
+			b.grants = append(b.grants, target.Grant{Slice: id, Fence: s.lease.Fence, Until: until})
 			b.waiting = append(b.waiting, s)
 			b.fences = append(b.fences, s.lease.Fence)
 		}
@@ -109,9 +117,19 @@
 	return b
 }
 
+// grantLimit returns how long grants may last; the caller holds the lock. While an exchange is
+// unanswered, the target may be frozen, and no grant outlasts those that it may have.
+func (o *Owner) grantLimit(now time.Duration, checks bool) time.Duration {
+	if checks && o.unanswered && o.grantedUntil > now {
+		return o.grantedUntil
+	}
+	return now + grantHorizon
+}
+
 func (o *Owner) putBack(b batch) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.unanswered = true
 	o.revoke = append(o.revoke, b.revoke...)
 }
 
@@ -120,6 +138,7 @@
 func (o *Owner) settle(b batch, refused []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.unanswered = false
 	for i, s := range b.waiting {
 		if s.lease.Fence != b.fences[i] {
 			continue
--- a/node/owner/holder.go
+++ b/node/owner/holder.go
@@ -73,20 +73,45 @@
 func (o *Owner) End(ids []keyspace.SliceID, reason string) {
 	o.mu.Lock()
 	for _, id := range ids {
-		s, held := o.slices[id]
-		if !held {
-			continue
+		o.end(id, reason)
+	}
+	o.mu.Unlock()
+	o.requestPush()
+}
+
+// end stops serving a slice; the caller holds the lock.
+func (o *Owner) end(id keyspace.SliceID, reason string) {
+	s, held := o.slices[id]
+	if !held {
+		return
+	}
+	s.until.Store(0)
+	s.close(outcome.ReasonLeaseLapsed)
+	delete(o.slices, id)
+	o.revoke = append(o.revoke, id)
+	// The lease is gone: nothing may be handed over in its name.
+	s.drained = nil
+	o.cfg.Logger.Info("slice ended", "slice", id.String(), "fence", s.lease.Fence.String(), "reason", reason)
+}
+
+// Abandon implements plane.Holder. Under the lock no grant is on its way that outlasts those
+// counted, so a target that checks fences can let nothing of the slices take effect any more.
+func (o *Owner) Abandon(ids []keyspace.SliceID, reason string) bool {
+	checks := o.target.Info().ChecksFences
+	o.mu.Lock()
+	if !checks || o.cfg.Clock() < o.grantedUntil {
+		o.mu.Unlock()
+		return false
+	}
+	for _, id := range ids {
+		if s, held := o.slices[id]; held {
+			o.drained[id] = s.lease.Fence
 		}
-		s.until.Store(0)
-		s.close(outcome.ReasonLeaseLapsed)
-		delete(o.slices, id)
-		o.revoke = append(o.revoke, id)
-		// The lease is gone: nothing may be handed over in its name.
-		s.drained = nil
-		o.cfg.Logger.Info("slice ended", "slice", id.String(), "fence", s.lease.Fence.String(), "reason", reason)
+		o.end(id, reason)
 	}
 	o.mu.Unlock()
 	o.requestPush()
+	return true
 }
 
 // Drain implements plane.Holder. A slice that is not held is drained at once, without a
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -100,7 +100,11 @@
 	alarm   *time.Timer
 	pending map[*pendingCall]struct{}
 	revoke  []keyspace.SliceID
-	use     usage
+	// grantedUntil is the latest end of a grant that was ever sent to the target; unanswered
+	// tells that it has not acknowledged the last ones.
+	grantedUntil time.Duration
+	unanswered   bool
+	use          usage
 }
 
 var (
@@ -179,6 +183,7 @@
 	for _, s := range o.slices {
 		s.grant.reset()
 	}
+	o.unanswered = false
 	o.mu.Unlock()
 	o.requestPush()
 	o.wake()
--- a/node/owner/owner_test.go
+++ b/node/owner/owner_test.go
@@ -49,14 +49,21 @@
 	grants     map[string]string
 	// cancels is the answer to a cancellation; empty means that it is lost.
 	cancels string
-	// grantsDown makes exchanges of grants fail.
+	// grantsDown makes exchanges of grants fail, healthDown the probes.
 	grantsDown bool
+	healthDown bool
+	// puts counts the exchanges of grants.
+	puts int
 }
 
 func newFakeTarget(t *testing.T) *fakeTarget {
 	f := &fakeTarget{incarnation: 1, executions: map[string]int{}, grants: map[string]string{}, cancels: "unknown"}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		if f.isHealthDown() {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
 		_ = json.NewEncoder(w).Encode(target.Health{Incarnation: f.currentIncarnation(), State: "ready"})
 	})
 	mux.HandleFunc("PUT /v1/grants", f.putGrants)
@@ -82,6 +89,24 @@
 	return f.incarnation
 }
 
+func (f *fakeTarget) isHealthDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.healthDown
+}
+
+func (f *fakeTarget) setDown(grants, health bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.grantsDown, f.healthDown = grants, health
+}
+
+func (f *fakeTarget) grantExchanges() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.puts
+}
+
 func (f *fakeTarget) setWork(work http.HandlerFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -120,6 +145,7 @@
 	_ = json.NewDecoder(r.Body).Decode(&in)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.puts++
 	if f.grantsDown {
 		w.WriteHeader(http.StatusBadGateway)
 		return
--- a/node/plane/plane.go
+++ b/node/plane/plane.go
@@ -99,6 +99,9 @@
 	Adopt(leases []Lease)
 	// End stops serving the slices at once: their leases lapsed or were taken away.
 	End(slices []keyspace.SliceID, reason string)
+	// Abandon stops serving the slices at once if the target checks fences and no grant that
+	// it was ever sent can still be valid; otherwise it does nothing and returns false.
+	Abandon(slices []keyspace.SliceID, reason string) bool
 	// Drain stops admitting to the slice, gives up what is queued and calls done with the
 	// encoded window of ids when nothing of the slice runs any more.
 	Drain(slice keyspace.SliceID, done func(window []byte))
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -25,6 +25,7 @@
 	HeaderSlice     = "Auburnrelay-Slice"
 	HeaderFence     = "Auburnrelay-Fence"
 	HeaderRemaining = "Auburnrelay-Remaining-Ms"
+	HeaderStartBy   = "Auburnrelay-Start-By-Boot-Ms"
 	HeaderNotRun    = "Auburnrelay-Not-Run"
 	headerPrefix    = "Auburnrelay-"
 )
@@ -85,7 +86,7 @@
 	sendCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	proof := &sendProof{gate: func() bool { return call.Remaining() > 0 }, stop: stop}
-	request, err := call.build(httptrace.WithClientTrace(sendCtx, proof.trace()), info.Address, remaining)
+	request, err := call.build(httptrace.WithClientTrace(sendCtx, proof.trace()), info.Address, l.cfg.Clock(), remaining)
 	if err != nil {
 		return notRun(outcome.ReasonTargetRefused)
 	}
@@ -252,8 +253,10 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// build makes the HTTP request of a call.
-func (c Call) build(ctx context.Context, address string, remaining time.Duration) (*http.Request, error) {
+// build makes the HTTP request of a call that the target may start within remaining from now,
+// a reading of the boot-time clock. The target learns the end of that time itself, as it may
+// read the request late.
+func (c Call) build(ctx context.Context, address string, now, remaining time.Duration) (*http.Request, error) {
 	q := c.Request
 	request, err := http.NewRequestWithContext(ctx, q.Method, "http://"+address, bytes.NewReader(q.Body))
 	if err != nil {
@@ -265,6 +268,7 @@
 	request.Header.Set(HeaderRequestID, c.ID)
 	request.Header.Set(HeaderAttempt, strconv.FormatUint(q.Attempt, 10))
 	request.Header.Set(HeaderRemaining, strconv.FormatInt(remaining.Milliseconds(), 10))
+	request.Header.Set(HeaderStartBy, strconv.FormatInt((now+remaining).Milliseconds(), 10))
 	if c.Fence != (fence.Fence{}) {
 		request.Header.Set(HeaderSlice, q.Slice.String())
 		request.Header.Set(HeaderFence, c.Fence.String())
--- a/node/target/control.go
+++ b/node/target/control.go
@@ -26,15 +26,16 @@
 
 // Grant is the right of the target to run work of one slice.
 type Grant struct {
-	Slice     keyspace.SliceID
-	Fence     fence.Fence
-	Remaining time.Duration
+	Slice keyspace.SliceID
+	Fence fence.Fence
+	// Until is when the grant lapses, on the boot-time clock that node and target share.
+	Until time.Duration
 }
 
 type grantJSON struct {
 	Slice       string `json:"slice"`
 	Fence       string `json:"fence"`
-	RemainingMS int64  `json:"remaining_ms"`
+	UntilBootMS int64  `json:"until_boot_ms"`
 }
 
 type grantsJSON struct {
@@ -74,8 +75,9 @@
 func encodeGrants(grants []Grant, revoke []keyspace.SliceID) grantsJSON {
 	out := grantsJSON{Grants: make([]grantJSON, 0, len(grants)), Revoke: make([]string, 0, len(revoke))}
 	for _, g := range grants {
-		remaining := g.Remaining.Milliseconds()
-		out.Grants = append(out.Grants, grantJSON{Slice: g.Slice.String(), Fence: g.Fence.String(), RemainingMS: remaining})
+		out.Grants = append(out.Grants, grantJSON{
+			Slice: g.Slice.String(), Fence: g.Fence.String(), UntilBootMS: g.Until.Milliseconds(),
+		})
 	}
 	for _, slice := range revoke {
 		out.Revoke = append(out.Revoke, slice.String())
