--- a/standin/target/faults_test.go
+++ b/standin/target/faults_test.go
@@ -131,6 +131,36 @@
 	}
 }
 
+// TestFenceRisesWhileWorkRuns raises the fence of a slice under running work, as a change of
+// the controller does. The work takes effect if the target had the slice all the time.
+func TestFenceRisesWhileWorkRuns(t *testing.T) {
+	rows := []struct {
+		name    string
+		between string
+		want    execlog.Outcome
+	}{
+		{"without a gap", "", execlog.Done},
+		{"after a revocation", `{"revoke":["a/1"]}`, execlog.Lapsed},
+		{"after a lapse", grantText("1.1", 0), execlog.Lapsed},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := start(t, Config{CheckFences: true, ServiceTimes: times(200 * time.Millisecond)})
+			f.call(t, "PUT", "/v1/grants", grantText("1.1", time.Minute))
+			go f.call(t, "POST", "/work/s/k/long", "", HeaderSlice+": a/1", HeaderFence+": 1.1")
+			eventually(t, "it runs", func() bool { return len(f.log.After(0)) == 1 })
+			if row.between != "" {
+				f.call(t, "PUT", "/v1/grants", row.between)
+			}
+			f.call(t, "PUT", "/v1/grants", grantText("2.1", time.Minute))
+			eventually(t, "the end is logged", func() bool { return len(f.log.After(0)) == 2 })
+			if got := f.log.After(1)[0].Outcome; got != row.want {
+				t.Errorf("outcome %q, want %q", got, row.want)
+			}
+		})
+	}
+}
+
 // TestGrantIsReadAfterItLapsed sends a grant to a frozen target that reads it only when it
 // returns: the grant must not come to life then.
 func TestGrantIsReadAfterItLapsed(t *testing.T) {
--- a/standin/target/grants.go
+++ b/standin/target/grants.go
@@ -34,6 +34,9 @@
 type grant struct {
 	// highest is the highest fence ever seen for the slice.
 	highest fence.Fence
+	// from is the fence since which the grant has run without a gap: nobody else can have had
+	// the slice since, so work begun under it may still take effect.
+	from fence.Fence
 	// until is when the grant lapses, on the boot-time clock; zero after a revocation.
 	until time.Duration
 }
@@ -55,7 +58,11 @@
 	if f.Less(known.highest) {
 		return false
 	}
-	g.slices[slice] = grant{highest: f, until: until}
+	next := grant{highest: f, from: known.from, until: until}
+	if execlog.BootTime() >= known.until {
+		next.from = f
+	}
+	g.slices[slice] = next
 	return true
 }
 
@@ -82,6 +89,14 @@
 	}
 }
 
+// mayFinish reports whether work begun under the fence may take effect now.
+func (g *grantTable) mayFinish(slice string, f fence.Fence) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known := g.slices[slice]
+	return !f.Less(known.from) && execlog.BootTime() < known.until
+}
+
 func (t *Target) putGrants(c echo.Context) error {
 	var m GrantsMessage
 	if err := c.Bind(&m); err != nil {
