--- a/core/cell/plan.go
+++ b/core/cell/plan.go
@@ -29,7 +29,12 @@
 	unwanted map[keyspace.RangeID]bool
 	at       time.Duration
 	joinedAt time.Duration
+	spreadAt time.Duration
 	loads    loads
+	// filling has the nodes that are being given their share.
+	filling map[string]bool
+	// restUntil has the slices whose moves were given up.
+	restUntil map[keyspace.SliceID]time.Duration
 	// churnAt and churned count planned moves for balance in the present minute.
 	churnAt time.Duration
 	churned int
@@ -37,7 +42,10 @@
 
 func (p *planState) init() {
 	p.at = -time.Hour
+	p.spreadAt = -time.Hour
 	p.adopting = true
+	p.filling = make(map[string]bool)
+	p.restUntil = make(map[keyspace.SliceID]time.Duration)
 	p.dirty = true
 	p.loads.init()
 }
@@ -60,7 +68,6 @@
 		return
 	}
 	if !m.storeDown {
-		// A slice that is drained for a move would stay unserved.
 		m.planMoves()
 	}
 	if next, touched := m.draft(); next != nil {
@@ -149,13 +156,19 @@
 	for _, name := range sortedNames(c.members) {
 		n := c.members[name]
 		if m.fit(n) {
-			p.Nodes = append(p.Nodes, placement.Node{Name: name, Domain: n.FailureDomain, Capacity: float64(n.Target.Slots)})
+			p.Nodes = append(p.Nodes, placement.Node{
+				Name: name, Domain: n.FailureDomain, Capacity: float64(n.Target.Slots), Filling: c.plans.filling[name],
+			})
 		}
 	}
 	m.rec.each(func(id keyspace.SliceID, rr *RangeRecord, a *Assignment) {
-		_, moving := c.moving[id]
+		owner := c.routes.slices[id].owner
+		mv, moving := c.moving[id]
+		if moving && mv.to != "" {
+			owner = mv.to
+		}
 		p.Slices = append(p.Slices, placement.Slice{
-			ID: id, Owner: c.routes.slices[id].owner, Successor: a.Successor,
+			ID: id, Owner: owner, Successor: a.Successor,
 			Work: c.plans.loads.work(id, m.now), Targets: rr.Range.Targets, Pinned: moving,
 		})
 	})
@@ -174,7 +187,7 @@
 	activated := false
 	for _, id := range sortedSlices(c.routes.slices) {
 		r := c.routes.slices[id]
-		if r.owner == "" || m.dropping(id.Range) {
+		if r.owner == "" || m.dropping(id.Range) || m.splitting(id) {
 			continue
 		}
 		released := m.released(id, r)
@@ -212,7 +225,7 @@
 // be written; if that is not fit, and for a lost owner, the successor that the record names
 // takes it. A next controller waits for the reports of both.
 func (m *Machine) outageOwner(id keyspace.SliceID, r route, released bool) (to, reason string) {
-	if n := m.ctl.members[r.owner]; released && n != nil && m.fit(n) && m.listed(r.owner) {
+	if released && m.mayTakeBack(id, r.owner) {
 		return r.owner, "released for a move"
 	}
 	lost, reason := m.ownerLost(id, r)
@@ -226,6 +239,17 @@
 	return to, reason
 }
 
+// mayTakeBack reports whether a released slice may go back to its owner. With a write of it in
+// doubt the record may name another owner already, which matters if the target checks no fences.
+func (m *Machine) mayTakeBack(id keyspace.SliceID, owner string) bool {
+	n := m.ctl.members[owner]
+	if n == nil || !m.fit(n) || !m.listed(owner) {
+		return false
+	}
+	inDoubt := m.write != nil && m.write.slices[id]
+	return !inDoubt || n.Target.ChecksFences || m.guards.activateAny
+}
+
 // successorOf returns the node to activate for a slice: the successor of the record or, if
 // a write in doubt assigns the slice, the owner that it names. Empty when neither is fit.
 // A target that does not check fences is not activated: as the record does not name it, a
@@ -262,9 +286,11 @@
 
 // settleActivations forgets the activations that the record now holds.
 func (m *Machine) settleActivations() {
-	for id, act := range m.ctl.active {
+	for _, id := range sortedSlices(m.ctl.active) {
+		act := m.ctl.active[id]
 		if a := m.rec.assignment(id); a == nil || (a.Owner == act.owner && a.Seq == act.seq) {
 			delete(m.ctl.active, id)
+			m.decide("activation written", id, act.owner, "the record holds it")
 		}
 	}
 }
--- a/core/cell/types.go
+++ b/core/cell/types.go
@@ -7,8 +7,8 @@
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 )
 
-// Node names one process: the VM it runs on and its incarnation. After a restart the
-// VM's node is another process. The zero Node is nobody.
+// Node names one process: the VM it runs on and its incarnation, which grows with each
+// start. After a restart the VM's node is another process. The zero Node is nobody.
 type Node struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation"`
@@ -50,6 +50,7 @@
 	Node
 	Address       string `json:"address"`
 	EntryAddress  string `json:"entry_address"`
+	AdminAddress  string `json:"admin_address"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
 	Target        Target `json:"target"`
@@ -119,6 +120,7 @@
 
 // Heartbeat is a node's numbered request to its controller.
 type Heartbeat struct {
+	// From lacks the addresses when the controller must know them already.
 	From   Member
 	Number uint64
 	Epoch  uint64
@@ -139,6 +141,8 @@
 type Answer struct {
 	Number   uint64
 	Accepted bool
+	// Unknown asks for a heartbeat that names the node in full.
+	Unknown bool
 	// Epoch and Controller are the newest that the answering node knows.
 	Epoch      uint64
 	Controller Member
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -21,9 +20,11 @@
 	"github.com/auburnrelay/auburnrelay/node/control"
 	"github.com/auburnrelay/auburnrelay/node/entry"
 	"github.com/auburnrelay/auburnrelay/node/forward"
+	"github.com/auburnrelay/auburnrelay/node/ledger"
 	"github.com/auburnrelay/auburnrelay/node/owner"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 	"github.com/auburnrelay/auburnrelay/node/settings"
+	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
 	"github.com/auburnrelay/auburnrelay/platform"
 )
@@ -49,8 +50,10 @@
 	store     platform.Store
 	link      *target.Link
 	owner     *owner.Owner
+	sharer    *sharing.Sharer
 	control   *control.Control
 	pool      *forward.Pool
+	ledger    *ledger.Ledger
 	dispatch  *entry.Dispatcher
 	entry     *http.Server
 	admin     *http.Server
@@ -99,6 +102,12 @@
 	}
 	ownerConfig.Metrics = metrics
 	ownerConfig.MaxConcurrent = s.Target.MaxConnections
+	n.sharer = sharing.New(sharing.Config{
+		Cell:   s.Node.Cell,
+		Policy: ownerConfig.Quarantine,
+		Log:    n.log.With("part", "sharing"),
+	}, n.store)
+	ownerConfig.Sharer = n.sharer
 	n.link = link
 	n.owner, err = owner.New(ownerConfig, link)
 	return err
@@ -114,9 +123,10 @@
 	s := n.settings
 	self := plane.Peer{
 		Name:          s.Node.Name,
-		Incarnation:   rand.Uint64(),
+		Incarnation:   control.NewIncarnation(),
 		Address:       s.Listen.AdvertisePeer,
 		EntryAddress:  s.Listen.AdvertiseEntry,
+		AdminAddress:  s.Listen.AdvertiseAdmin,
 		Region:        s.Node.Region,
 		FailureDomain: s.Node.FailureDomain,
 		Cell:          s.Node.Cell,
@@ -138,8 +148,16 @@
 func (n *Node) provisionEntry() error {
 	s := n.settings
 	n.pool = forward.NewPool(s.Limits.PeerConnections, grpc.WithContextDialer(dialFrom(s.Listen.Peer)))
+	n.ledger = n.newLedger()
 	policy := retry.DefaultPolicy()
 	policy.Ratio = s.Load.RetryShare
+	n.sharer.Attach(n.owner, &sharing.Peers{
+		Cluster: s.Cluster.Name,
+		Cell:    s.Node.Cell,
+		Pool:    n.pool,
+		Members: n.cellMembers,
+		Log:     n.log.With("part", "sharing"),
+	})
 	n.dispatch = entry.NewDispatcher(
 		entry.DispatchConfig{HoldMax: holdMax, HoldLimit: holdLimit, RetryPause: retryPause},
 		entry.Parts{
@@ -148,7 +166,7 @@
 			Remote:  forward.NewClient(s.Cluster.Name, n.pool),
 			Chooser: &lockedChooser{region: s.Node.Region, picker: balance.New(balance.DefaultPolicy())},
 			Budget:  &lockedBudget{budget: retry.New(policy)},
-			Ledger:  uncounted{},
+			Ledger:  n.ledger,
 			Log:     n.log.With("part", "entry"),
 		})
 	limits := entry.Limits{
@@ -161,12 +179,29 @@
 	return nil
 }
 
+func (n *Node) newLedger() *ledger.Ledger {
+	account := n.settings.Account
+	return ledger.New(ledger.Config{
+		Cluster:         n.settings.Cluster.Name,
+		Self:            n.control.Self(),
+		ReportInterval:  account.ReportInterval.Std(),
+		SegmentInterval: account.SegmentInterval.Std(),
+		Silence:         account.Silence.Std(),
+		Logger:          n.log.With("part", "account"),
+		Registry:        n.registry,
+		Now:             time.Now,
+	}, n.store, n.control, n.pool)
+}
+
 func (n *Node) provisionServers() error {
-	n.peers = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+	options := append(control.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 		MinTime:             keepaliveFloor,
 		PermitWithoutStream: true,
 	}))
+	n.peers = grpc.NewServer(options...)
 	n.control.Register(n.peers)
+	sharing.NewServer(n.settings.Cluster.Name, n.settings.Node.Cell, n.owner).Register(n.peers)
+	n.ledger.Register(n.peers)
 	limits := forward.Limits{BodyBytes: int(n.settings.Limits.BodyBytes)}
 	forward.NewServer(n.settings.Cluster.Name, n.control, n.owner, limits, n.log.With("part", "forward")).Register(n.peers)
 	n.admin = newAdminServer(adminSource{ready: n.ready, status: n.status, gatherer: n.registry})
@@ -174,6 +209,17 @@
 	return nil
 }
 
+// cellMembers returns the other nodes of the cell.
+func (n *Node) cellMembers() []plane.Peer {
+	var others []plane.Peer
+	for _, m := range n.control.Status().Members {
+		if m.Peer.Name != n.settings.Node.Name {
+			others = append(others, m.Peer)
+		}
+	}
+	return others
+}
+
 func (n *Node) listen() error {
 	wanted := []struct {
 		field   string
--- a/wire/cellwire/cellwire.go
+++ b/wire/cellwire/cellwire.go
@@ -28,7 +28,7 @@
 // MemberToWire writes a node with its addresses.
 func MemberToWire(m cell.Member) *pb.CellMember {
 	return &pb.CellMember{
-		Node: nodeToWire(m.Node), Address: m.Address, EntryAddress: m.EntryAddress,
+		Node: nodeToWire(m.Node), Address: m.Address, EntryAddress: m.EntryAddress, AdminAddress: m.AdminAddress,
 		Region: m.Region, FailureDomain: m.FailureDomain, Target: targetToWire(m.Target),
 	}
 }
@@ -36,7 +36,7 @@
 // MemberFromWire reads what MemberToWire wrote.
 func MemberFromWire(m *pb.CellMember) cell.Member {
 	return cell.Member{
-		Node: NodeFromWire(m.GetNode()), Address: m.GetAddress(), EntryAddress: m.GetEntryAddress(),
+		Node: NodeFromWire(m.GetNode()), Address: m.GetAddress(), EntryAddress: m.GetEntryAddress(), AdminAddress: m.GetAdminAddress(),
 		Region: m.GetRegion(), FailureDomain: m.GetFailureDomain(), Target: targetFromWire(m.GetTarget()),
 	}
 }
@@ -148,7 +148,7 @@
 func AnswerToWire(from cell.Node, a cell.Answer) (*pb.HeartbeatResponse, error) {
 	r := &pb.HeartbeatResponse{
 		Number: a.Number, Accepted: a.Accepted, Epoch: a.Epoch, ForUs: uint64(a.For.Microseconds()),
-		Set: a.Set, Full: a.Full, Needs: versionToWire(a.Needs), Left: a.Left,
+		Set: a.Set, Full: a.Full, Needs: versionToWire(a.Needs), Left: a.Left, Unknown: a.Unknown,
 	}
 	if !a.Accepted {
 		r.Controller = MemberToWire(a.Controller)
@@ -181,7 +181,7 @@
 	a := cell.Answer{
 		Number: r.GetNumber(), Accepted: r.GetAccepted(), Epoch: r.GetEpoch(), Controller: MemberFromWire(r.GetController()),
 		For: time.Duration(r.GetForUs()) * time.Microsecond, Set: r.GetSet(), Full: r.GetFull(),
-		Needs: versionFromWire(r.GetNeeds()), Left: r.GetLeft(),
+		Needs: versionFromWire(r.GetNeeds()), Left: r.GetLeft(), Unknown: r.GetUnknown(),
 	}
 	for _, g := range r.GetGrants() {
 		id, f, window := leaseFromWire(g)
