--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for users (demo, test) and for developers (the rest).
 
 SHELL := /bin/bash
-MODULES := client cmd/auburnrelay core node platform standin wire
+MODULES := client cmd/auburnrelay core node objects platform standin wire
 BUILD := $(CURDIR)/build
 TOOLBIN := $(CURDIR)/.bin
 
--- a/cmd/auburnrelay/audit/audit.go
+++ b/cmd/auburnrelay/audit/audit.go
@@ -15,7 +15,7 @@
 	"github.com/auburnrelay/auburnrelay/core/account"
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/sheet"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -59,7 +59,7 @@
 
 // Reader reads the account.
 type Reader struct {
-	Store platform.Store
+	Store objects.Store
 	Now   func() time.Time
 }
 
@@ -111,7 +111,7 @@
 
 func (r Reader) sheetCells(ctx context.Context) ([]string, error) {
 	object, err := r.Store.Get(ctx, sheet.KeyCurrent)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -208,7 +208,7 @@
 // get returns a segment, nil if there is none or it cannot be read.
 func (r Reader) get(ctx context.Context, id account.ID) (*account.Sealed, error) {
 	object, err := r.Store.Get(ctx, id.Key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- /dev/null
+++ b/cmd/auburnrelay/cgo.go
@@ -0,0 +1,5 @@
+package main
+
+// The import links the program to the C library, as the platform's machines need it.
+
+import "C"
--- a/cmd/auburnrelay/command/command.go
+++ b/cmd/auburnrelay/command/command.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/auburnrelay/auburnrelay/node/settings"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // Dependencies is what the commands use of the outside.
@@ -20,7 +20,7 @@
 	// RunNode runs a node until ctx ends or a part of it fails.
 	RunNode func(ctx context.Context, s *settings.Settings) error
 	// OpenStore connects to the object store at url.
-	OpenStore func(url string) (platform.Store, error)
+	OpenStore func(url string) (objects.Store, error)
 	// Pause waits before a store call is tried again; it fails when ctx ends.
 	Pause func(ctx context.Context, try int) error
 	// HTTP asks nodes for their status.
@@ -67,7 +67,7 @@
 	root.SetOut(d.Out)
 	root.SetErr(d.Err)
 	root.PersistentFlags().StringVar(&p.storeURL, "store", d.StoreURL, "URL of the object store")
-	root.AddCommand(p.nodeCommand(), p.configCommand(), p.sheetCommand(), p.stopCommand(),
+	root.AddCommand(p.nodeCommand(), p.sidecarCommand(), p.configCommand(), p.sheetCommand(), p.stopCommand(),
 		p.statusCommand(), p.accountCommand())
 	return root
 }
@@ -80,7 +80,7 @@
 }
 
 // openStore connects to the store that the flags name.
-func (p *program) openStore() (platform.Store, error) {
+func (p *program) openStore() (objects.Store, error) {
 	if p.storeURL == "" {
 		return nil, errors.Wrap(ErrUsage, "no object store: give --store URL or set AUBURNRELAY_STORE")
 	}
--- a/cmd/auburnrelay/command/session_test.go
+++ b/cmd/auburnrelay/command/session_test.go
@@ -18,8 +18,8 @@
 	"github.com/auburnrelay/auburnrelay/core/account"
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/stop"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // session plays commands of operators on one store. Each file of testdata is the golden
@@ -37,11 +37,11 @@
 
 // racing is the store as one operator sees it while others work.
 type racing struct {
-	platform.Store
+	objects.Store
 	s *session
 }
 
-func (r racing) Put(ctx context.Context, key string, value []byte, expected platform.Version, id string) (platform.Version, error) {
+func (r racing) Put(ctx context.Context, key string, value []byte, expected objects.Version, id string) (objects.Version, error) {
 	for prefix, lines := range r.s.before {
 		if strings.HasPrefix(key, prefix) {
 			delete(r.s.before, prefix)
@@ -118,7 +118,7 @@
 	var out bytes.Buffer
 	s.pauses = 0
 	root := New(Dependencies{
-		OpenStore: func(string) (platform.Store, error) { return racing{s.store, s}, nil },
+		OpenStore: func(string) (objects.Store, error) { return racing{s.store, s}, nil },
 		Pause:     s.pause,
 		HTTP:      http.DefaultClient,
 		Now:       func() time.Time { return s.now },
@@ -194,7 +194,7 @@
 
 func (s *session) put(key string, value []byte) {
 	current, err := s.store.Get(s.Context(), key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		s.Fatal(err)
 	}
 	if _, err := s.store.Put(s.Context(), key, value, current.Version, "test"); err != nil {
--- a/cmd/auburnrelay/command/sheetapply.go
+++ b/cmd/auburnrelay/command/sheetapply.go
@@ -9,7 +9,7 @@
 	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/publish"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/sheet"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // applyOptions are the flags of "sheet apply".
@@ -55,7 +55,7 @@
 	if seen.Version != 0 && seen.Digest == sheet.Digest(text) {
 		return p.printf("version %d is this sheet already; nothing changed\n", seen.Version)
 	}
-	if o.seen >= 0 && platform.Version(o.seen) != seen.Version {
+	if o.seen >= 0 && objects.Version(o.seen) != seen.Version {
 		return p.reportRace(ctx, publisher, layout)
 	}
 	diff := sheet.Compare(seen.Layout, layout)
--- a/cmd/auburnrelay/command/sheetshow.go
+++ b/cmd/auburnrelay/command/sheetshow.go
@@ -9,7 +9,7 @@
 
 	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/publish"
 	"github.com/auburnrelay/auburnrelay/core/sheet"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 func (p *program) sheetShowCommand() *cobra.Command {
@@ -21,7 +21,7 @@
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			return p.withPublisher(c.Context(), func(ctx context.Context, publisher publish.Publisher) error {
-				accepted, err := find(ctx, publisher, platform.Version(version))
+				accepted, err := find(ctx, publisher, objects.Version(version))
 				if err != nil {
 					return err
 				}
@@ -37,7 +37,7 @@
 }
 
 // find returns the accepted sheet of a version; zero stands for the newest.
-func find(ctx context.Context, publisher publish.Publisher, version platform.Version) (publish.Accepted, error) {
+func find(ctx context.Context, publisher publish.Publisher, version objects.Version) (publish.Accepted, error) {
 	accepted, err := publisher.Current(ctx)
 	for err == nil && version != 0 && accepted.Version > version {
 		accepted, err = publisher.Before(ctx, accepted)
--- /dev/null
+++ b/cmd/auburnrelay/command/sidecar.go
@@ -0,0 +1,43 @@
+package command
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/auburnrelay/auburnrelay/node/sidecar"
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+func (p *program) sidecarCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "sidecar [--settings FILE]",
+		Short: "Run the node beside a target on the platform",
+		Long: `Run the node beside a target on the platform until SIGTERM or SIGINT.
+
+The settings file is the one of --settings or, without it, the one that the environment
+variable ` + platform.SettingsVariable + ` names. Nothing is started when it holds a fault.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(platform.SettingsVariable)
+			}
+			if path == "" {
+				return errors.New("no settings file: give --settings or set " + platform.SettingsVariable)
+			}
+			s, err := sidecar.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			d, err := sidecar.New(s, p.Out)
+			if err != nil {
+				return err
+			}
+			return d.Run(c.Context())
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "the node's settings file (TOML)")
+	return c
+}
--- a/cmd/auburnrelay/command/stop.go
+++ b/cmd/auburnrelay/command/stop.go
@@ -11,7 +11,7 @@
 	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/publish"
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/stop"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // StopStatus is one planned stop with its phase.
@@ -148,7 +148,7 @@
 }
 
 // putStop writes the stop on the version; a lost answer is resolved by the id of the write.
-func (p *program) putStop(ctx context.Context, publisher publish.Publisher, s stop.Stop, expected platform.Version, writeID string) error {
+func (p *program) putStop(ctx context.Context, publisher publish.Publisher, s stop.Stop, expected objects.Version, writeID string) error {
 	value, err := s.Encode()
 	if err != nil {
 		return errors.Wrap(err, "encode the stop")
@@ -178,7 +178,7 @@
 
 func (p *program) cancelStop(ctx context.Context, publisher publish.Publisher, id, who string) error {
 	object, err := publisher.Get(ctx, stop.KeyPrefix+id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return errors.Wrapf(ErrNoStop, "%s", id)
 	}
 	if err != nil {
@@ -213,7 +213,7 @@
 	}
 }
 
-func (p *program) stopStatuses(ctx context.Context, store platform.Store, records []*cell.Record) ([]StopStatus, error) {
+func (p *program) stopStatuses(ctx context.Context, store objects.Store, records []*cell.Record) ([]StopStatus, error) {
 	stored, progress, err := fleetview.Stops(ctx, store)
 	if err != nil {
 		return nil, err
--- a/cmd/auburnrelay/fleetview/fleetview.go
+++ b/cmd/auburnrelay/fleetview/fleetview.go
@@ -14,7 +14,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/stop"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -28,7 +28,7 @@
 var ErrStatus = errors.New("no status from the node")
 
 // Cells returns the records of all cells in the order of their names.
-func Cells(ctx context.Context, store platform.Store) ([]*cell.Record, error) {
+func Cells(ctx context.Context, store objects.Store) ([]*cell.Record, error) {
 	listing, err := store.List(ctx, cellsPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "list the cells")
@@ -62,11 +62,11 @@
 // StoredStop is a planned stop with its version in the store.
 type StoredStop struct {
 	stop.Stop
-	Version platform.Version
+	Version objects.Version
 }
 
 // Stops returns the planned stops and the progress of all cells.
-func Stops(ctx context.Context, store platform.Store) ([]StoredStop, []stop.Progress, error) {
+func Stops(ctx context.Context, store objects.Store) ([]StoredStop, []stop.Progress, error) {
 	listing, err := store.List(ctx, stop.KeyPrefix)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "list the planned stops")
@@ -83,7 +83,7 @@
 	return stops, progress, err
 }
 
-func progressOf(ctx context.Context, store platform.Store) ([]stop.Progress, error) {
+func progressOf(ctx context.Context, store objects.Store) ([]stop.Progress, error) {
 	listing, err := store.List(ctx, stop.ProgressPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "list the progress of stops")
--- a/cmd/auburnrelay/main.go
+++ b/cmd/auburnrelay/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/auburnrelay/auburnrelay/cmd/auburnrelay/command"
 	"github.com/auburnrelay/auburnrelay/node/settings"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // statusTimeout bounds one question to one node.
@@ -25,7 +25,7 @@
 	runNode = func(context.Context, *settings.Settings) error {
 		return errors.New("this build has no node")
 	}
-	openStore = func(string) (platform.Store, error) {
+	openStore = func(string) (objects.Store, error) {
 		return nil, errors.New("this build has no store client")
 	}
 )
--- a/cmd/auburnrelay/publish/publish.go
+++ b/cmd/auburnrelay/publish/publish.go
@@ -14,7 +14,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/sheet"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 var (
@@ -30,7 +30,7 @@
 // Accepted is an accepted sheet with its version; the zero value stands for none.
 type Accepted struct {
 	sheet.Object
-	Version platform.Version
+	Version objects.Version
 }
 
 // Offer is a sheet that an operator wants to be accepted.
@@ -47,7 +47,7 @@
 
 // Publisher reads and writes sheets.
 type Publisher struct {
-	Store platform.Store
+	Store objects.Store
 	// Pause waits before a call is tried again; it fails when ctx ends.
 	Pause func(ctx context.Context, try int) error
 }
@@ -55,7 +55,7 @@
 // Current returns the accepted sheet. It fails with ErrNoSheet when there is none.
 func (p Publisher) Current(ctx context.Context) (Accepted, error) {
 	object, err := p.get(ctx, sheet.KeyCurrent)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return Accepted{}, ErrNoSheet
 	}
 	if err != nil {
@@ -74,7 +74,7 @@
 	if err != nil {
 		return Accepted{}, errors.Wrapf(err, "read %s", a.BaseHistoryKey)
 	}
-	return decode(object.Value, platform.Version(a.BaseVersion))
+	return decode(object.Value, objects.Version(a.BaseVersion))
 }
 
 // Publish makes the offer the accepted sheet. It fails with ErrRaced, ErrUnresolved or
@@ -119,16 +119,16 @@
 
 // writeCurrent names the sheet in sheet/current. The same conditional write is sent until
 // it is known which sheet followed the seen version: at most one can.
-func (p Publisher) writeCurrent(ctx context.Context, offered sheet.Object, value []byte, o Offer) (platform.Version, error) {
+func (p Publisher) writeCurrent(ctx context.Context, offered sheet.Object, value []byte, o Offer) (objects.Version, error) {
 	inDoubt := false
 	for try := 1; ; try++ {
 		version, err := p.Store.Put(ctx, sheet.KeyCurrent, value, o.Seen.Version, o.ID)
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, objects.ErrConflict):
 			return p.resolve(ctx, offered)
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, objects.ErrUnknownOutcome):
 			inDoubt = true
 			if p.hasMoved(ctx, o.Seen.Version) {
 				return p.resolve(ctx, offered)
@@ -143,7 +143,7 @@
 }
 
 // hasMoved reports whether the accepted sheet is known not to be the seen one any more.
-func (p Publisher) hasMoved(ctx context.Context, seen platform.Version) bool {
+func (p Publisher) hasMoved(ctx context.Context, seen objects.Version) bool {
 	object, err := p.Store.Get(ctx, sheet.KeyCurrent)
 	return err == nil && object.Version != seen
 }
@@ -157,7 +157,7 @@
 
 // resolve finds out, after the version has moved, whether the offered sheet is among the
 // accepted ones.
-func (p Publisher) resolve(ctx context.Context, offered sheet.Object) (platform.Version, error) {
+func (p Publisher) resolve(ctx context.Context, offered sheet.Object) (objects.Version, error) {
 	accepted, err := p.Current(ctx)
 	for err == nil && accepted.Number > offered.Number {
 		accepted, err = p.Before(ctx, accepted)
@@ -180,7 +180,7 @@
 	}
 }
 
-func (p Publisher) get(ctx context.Context, key string) (platform.Object, error) {
+func (p Publisher) get(ctx context.Context, key string) (objects.Object, error) {
 	for try := 1; ; try++ {
 		object, err := p.Store.Get(ctx, key)
 		if err == nil || !mayRetry(err) || p.Pause(ctx, try) != nil {
@@ -190,18 +190,18 @@
 }
 
 // Get reads an object and tries again while the store cannot be reached.
-func (p Publisher) Get(ctx context.Context, key string) (platform.Object, error) {
+func (p Publisher) Get(ctx context.Context, key string) (objects.Object, error) {
 	return p.get(ctx, key)
 }
 
 // Put writes an object under an id that no other write has. It sends the same conditional
-// write until its end is known. It fails with platform.ErrConflict when another write came
+// write until its end is known. It fails with objects.ErrConflict when another write came
 // first.
-func (p Publisher) Put(ctx context.Context, key string, value []byte, expected platform.Version, id string) (platform.Version, error) {
+func (p Publisher) Put(ctx context.Context, key string, value []byte, expected objects.Version, id string) (objects.Version, error) {
 	inDoubt := false
 	for try := 1; ; try++ {
 		version, err := p.Store.Put(ctx, key, value, expected, id)
-		inDoubt = inDoubt || errors.Is(err, platform.ErrUnknownOutcome)
+		inDoubt = inDoubt || errors.Is(err, objects.ErrUnknownOutcome)
 		if inDoubt && err != nil {
 			if stored, getErr := p.Store.Get(ctx, key); getErr == nil && stored.WriteID == id {
 				return stored.Version, nil
@@ -214,10 +214,10 @@
 }
 
 func mayRetry(err error) bool {
-	return errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrBudget)
+	return errors.IsAny(err, objects.ErrUnavailable, objects.ErrUnknownOutcome, objects.ErrBudget)
 }
 
-func decode(value []byte, version platform.Version) (Accepted, error) {
+func decode(value []byte, version objects.Version) (Accepted, error) {
 	object, err := sheet.DecodeObject(value, int64(version))
 	if err != nil {
 		return Accepted{}, err
--- a/cmd/auburnrelay/wiring.go
+++ b/cmd/auburnrelay/wiring.go
@@ -2,11 +2,11 @@
 
 import (
 	"github.com/auburnrelay/auburnrelay/node"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/httpstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/httpstore"
 )
 
 func init() {
 	runNode = node.Run
-	openStore = func(url string) (platform.Store, error) { return httpstore.New(url, httpstore.Options{}), nil }
+	openStore = func(url string) (objects.Store, error) { return httpstore.New(url, httpstore.Options{}), nil }
 }
--- /dev/null
+++ b/core/holding/table.go
@@ -0,0 +1,193 @@
+// Package holding decides which target holds which keys of a service.
+//
+// The key space 0 to KeyMax is cut into Slices of equal length. A Table names for each slice its
+// owner, the fencing token of its grant, and, while the slice moves, its next owner. The table
+// is the durable record of the service: it changes only by conditional writes of the whole
+// table. Tokens come from one counter of the table, so that a slice's token grows with each
+// change of its owner.
+//
+// A slice is given to a new owner only when its former one can no longer run its keys: it
+// released them, its grant has lapsed, or its process is known to be gone. The functions here
+// record such a change; the caller proves it.
+//
+// A Table is a plain value without locks.
+package holding
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// KeyMax is the largest key.
+	KeyMax = 65535
+	// Slices is the number of slices of a service. Neighbouring slices go to different targets,
+	// which spreads a busy range; the grants of a target must fit into an answer of 4 KiB, at
+	// about 20 bytes a row.
+	Slices = 512
+	// SliceKeys is the number of keys of a slice.
+	SliceKeys = (KeyMax + 1) / Slices
+)
+
+// ErrTable reports a record that is not a table.
+var ErrTable = errors.New("malformed table of slices")
+
+// Owner is one life of a target beside one node.
+type Owner struct {
+	// Node is the name of the node that guards the target.
+	Node string `json:"node"`
+	// Target is the target's id.
+	Target string `json:"target"`
+	// Born is the Unix millisecond of the target's start: the same id may start again.
+	Born int64 `json:"born"`
+}
+
+// Slice is the state of one slice.
+type Slice struct {
+	// Owner indexes Table.Owners; negative for a slice that nobody owns.
+	Owner int
+	// Fence is the fencing token of the owner's grant.
+	Fence int64
+	// Handover is the token that the former owner gave when it released the slice.
+	Handover string
+	// Next indexes Table.Owners for a slice that its owner shall release; negative otherwise.
+	Next int
+}
+
+// Table is the record of one service.
+type Table struct {
+	Service string
+	// Fence is the highest fencing token given so far.
+	Fence  int64
+	Owners []Owner
+	Slices [Slices]Slice
+}
+
+// NewTable returns a table whose slices have no owner.
+func NewTable(service string) *Table {
+	t := &Table{Service: service}
+	for i := range t.Slices {
+		t.Slices[i] = Slice{Owner: -1, Next: -1}
+	}
+	return t
+}
+
+// SliceOf returns the slice of a key.
+func SliceOf(key int) int { return key / SliceKeys }
+
+// Clone returns a copy that shares nothing with t.
+func (t *Table) Clone() *Table {
+	c := *t
+	c.Owners = append([]Owner(nil), t.Owners...)
+	return &c
+}
+
+// OwnerOf returns the owner of a slice.
+func (t *Table) OwnerOf(slice int) (Owner, bool) {
+	s := t.Slices[slice]
+	if s.Owner < 0 {
+		return Owner{}, false
+	}
+	return t.Owners[s.Owner], true
+}
+
+// NextOf returns the owner that a moving slice goes to.
+func (t *Table) NextOf(slice int) (Owner, bool) {
+	s := t.Slices[slice]
+	if s.Next < 0 {
+		return Owner{}, false
+	}
+	return t.Owners[s.Next], true
+}
+
+// index returns the place of an owner in the table and adds it if it has none.
+func (t *Table) index(o Owner) int {
+	for i, known := range t.Owners {
+		if known == o {
+			return i
+		}
+	}
+	t.Owners = append(t.Owners, o)
+	return len(t.Owners) - 1
+}
+
+// compact drops owners that no slice names.
+func (t *Table) compact() {
+	place := make([]int, len(t.Owners))
+	for i := range place {
+		place[i] = -1
+	}
+	var kept []Owner
+	move := func(i *int) {
+		if *i < 0 {
+			return
+		}
+		if place[*i] < 0 {
+			place[*i] = len(kept)
+			kept = append(kept, t.Owners[*i])
+		}
+		*i = place[*i]
+	}
+	for i := range t.Slices {
+		move(&t.Slices[i].Owner)
+		move(&t.Slices[i].Next)
+	}
+	t.Owners = kept
+}
+
+// record is the encoded form of a table: runs of equal slices.
+type record struct {
+	Service string  `json:"service"`
+	Fence   int64   `json:"fence"`
+	Owners  []Owner `json:"owners"`
+	Runs    []run   `json:"runs"`
+}
+
+type run struct {
+	Count    int    `json:"n"`
+	Owner    int    `json:"o"`
+	Fence    int64  `json:"f"`
+	Handover string `json:"h,omitempty"`
+	Next     int    `json:"x"`
+}
+
+// Encode returns the record of the table.
+func (t *Table) Encode() ([]byte, error) {
+	t.compact()
+	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners}
+	for i, s := range t.Slices {
+		if i > 0 && s == t.Slices[i-1] {
+			r.Runs[len(r.Runs)-1].Count++
+			continue
+		}
+		r.Runs = append(r.Runs, run{Count: 1, Owner: s.Owner, Fence: s.Fence, Handover: s.Handover, Next: s.Next})
+	}
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode the table")
+}
+
+// Decode reads a record; it fails with ErrTable.
+func Decode(data []byte) (*Table, error) {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode the table"), ErrTable)
+	}
+	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners}
+	at := 0
+	for _, run := range r.Runs {
+		bad := run.Count < 1 || at+run.Count > Slices || run.Owner < -1 || run.Owner >= len(r.Owners) ||
+			run.Next < -1 || run.Next >= len(r.Owners) || run.Fence > r.Fence
+		if bad {
+			return nil, errors.Wrapf(ErrTable, "run at slice %d", at)
+		}
+		for range run.Count {
+			t.Slices[at] = Slice{Owner: run.Owner, Fence: run.Fence, Handover: run.Handover, Next: run.Next}
+			at++
+		}
+	}
+	if at != Slices {
+		return nil, errors.Wrapf(ErrTable, "%d slices", at)
+	}
+	return t, nil
+}
--- /dev/null
+++ b/core/turn/turn.go
@@ -0,0 +1,170 @@
+// Package turn decides which requests have one of a target's slots, which wait, and which are
+// refused: the most urgent priority first, within one in order of arrival, each for no longer
+// than its patience.
+//
+// A Queue is pure: times are passed in, and the user serialises the calls.
+package turn
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Item is one request that asks for a slot.
+type Item struct {
+	ID uint64
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// GiveUp is when the request is refused if it still waits.
+	GiveUp time.Duration
+}
+
+// Verdict is what becomes of an item.
+type Verdict uint8
+
+const (
+	// Start means that the item has a slot.
+	Start Verdict = iota + 1
+	// Wait means that the item is queued; Next will name it.
+	Wait
+	// Drop means that the item is refused.
+	Drop
+)
+
+// Decision is a verdict on a waiting item.
+type Decision struct {
+	ID      uint64
+	Verdict Verdict
+}
+
+// Queue admits items to the slots of one target.
+type Queue struct {
+	slots   int
+	running int
+	// room is the number of items that may wait.
+	room    int
+	waiting queue
+	arrived uint64
+}
+
+type entry struct {
+	Item
+	order uint64
+}
+
+// New returns a queue with slots and room for waiting items.
+func New(slots, room int) *Queue { return &Queue{slots: slots, room: room} }
+
+// Resize sets the number of slots and of places to wait; running items keep theirs.
+func (q *Queue) Resize(slots, room int) { q.slots, q.room = slots, room }
+
+// Running returns the number of items that hold slots.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns the number of items that wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Offer decides on a new item. When there is no room, the least urgent of the waiting items and
+// the new one is refused; displaced names a waiting item that was refused for it.
+func (q *Queue) Offer(now time.Duration, item Item) (verdict Verdict, displaced uint64, isDisplaced bool) {
+	if q.running < q.slots && len(q.waiting) == 0 {
+		q.running++
+		return Start, 0, false
+	}
+	if item.GiveUp <= now || q.room == 0 {
+		return Drop, 0, false
+	}
+	q.arrived++
+	if len(q.waiting) < q.room {
+		heap.Push(&q.waiting, entry{item, q.arrived})
+		return Wait, 0, false
+	}
+	last := q.waiting.last()
+	if q.waiting[last].Priority <= item.Priority {
+		return Drop, 0, false
+	}
+	gone := q.waiting[last].ID
+	heap.Remove(&q.waiting, last)
+	heap.Push(&q.waiting, entry{item, q.arrived})
+	return Wait, gone, true
+}
+
+// Finish frees a slot.
+func (q *Queue) Finish() { q.running-- }
+
+// Abandon takes a waiting item out; it reports false if the item does not wait.
+func (q *Queue) Abandon(id uint64) bool {
+	for i := range q.waiting {
+		if q.waiting[i].ID == id {
+			heap.Remove(&q.waiting, i)
+			return true
+		}
+	}
+	return false
+}
+
+// Next refuses items whose patience is over and starts those that have a slot.
+func (q *Queue) Next(now time.Duration) []Decision {
+	var decisions []Decision
+	for i := 0; i < len(q.waiting); {
+		if q.waiting[i].GiveUp <= now {
+			decisions = append(decisions, Decision{q.waiting[i].ID, Drop})
+			heap.Remove(&q.waiting, i)
+			i = 0
+			continue
+		}
+		i++
+	}
+	for q.running < q.slots && len(q.waiting) > 0 {
+		first := heap.Pop(&q.waiting).(entry)
+		q.running++
+		decisions = append(decisions, Decision{first.ID, Start})
+	}
+	return decisions
+}
+
+// Deadline returns when the patience of a waiting item ends next; false if none waits.
+func (q *Queue) Deadline() (time.Duration, bool) {
+	if len(q.waiting) == 0 {
+		return 0, false
+	}
+	first := q.waiting[0].GiveUp
+	for _, e := range q.waiting[1:] {
+		first = min(first, e.GiveUp)
+	}
+	return first, true
+}
+
+// queue is a heap, the next item to start first.
+type queue []entry
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].Priority != q[j].Priority {
+		return q[i].Priority < q[j].Priority
+	}
+	return q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(entry)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// last returns the index of the item that would start last.
+func (q queue) last() int {
+	last := 0
+	for i := range q {
+		if q.Less(last, i) {
+			last = i
+		}
+	}
+	return last
+}
--- a/node/control/budget_test.go
+++ b/node/control/budget_test.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const (
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -15,7 +15,7 @@
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/stop"
 	"github.com/auburnrelay/auburnrelay/node/plane"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
 )
 
@@ -40,7 +40,7 @@
 	pb.UnimplementedCellServiceServer
 
 	cfg     Config
-	store   platform.Store
+	store   objects.Store
 	holder  plane.Holder
 	log     *slog.Logger
 	metrics *metrics
@@ -77,7 +77,7 @@
 const eventQueue = 1024
 
 // New returns a Control that takes part once Run is called.
-func New(cfg Config, store platform.Store, holder plane.Holder) (*Control, error) {
+func New(cfg Config, store objects.Store, holder plane.Holder) (*Control, error) {
 	if cfg.Self.Name == "" || cfg.Self.Incarnation == 0 || cfg.Self.Address == "" || cfg.Cell == "" {
 		return nil, errors.Wrap(ErrIncomplete, "name, incarnation, address and cell are needed")
 	}
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -18,8 +18,8 @@
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
 	"github.com/auburnrelay/auburnrelay/node/plane"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // fakeHolder stands for the request side: it notes leases and drains at once.
@@ -99,7 +99,7 @@
 	<-n.done
 }
 
-func startNode(t *testing.T, store platform.Store, name, domain, cellName string) *testNode {
+func startNode(t *testing.T, store objects.Store, name, domain, cellName string) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -108,7 +108,7 @@
 	return startNodeOn(t, listener, store, name, domain, cellName, nil)
 }
 
-func startNodeOn(t *testing.T, listener net.Listener, store platform.Store, name, domain, cellName string, dial func(context.Context, string) (net.Conn, error)) *testNode {
+func startNodeOn(t *testing.T, listener net.Listener, store objects.Store, name, domain, cellName string, dial func(context.Context, string) (net.Conn, error)) *testNode {
 	t.Helper()
 	h := &fakeHolder{
 		leases: make(map[keyspace.SliceID]plane.Lease),
@@ -145,7 +145,7 @@
 
 const testSlices = 32
 
-func putSheet(t *testing.T, store platform.Store, expected platform.Version, cellName string) platform.Version {
+func putSheet(t *testing.T, store objects.Store, expected objects.Version, cellName string) objects.Version {
 	t.Helper()
 	r := keyspace.Range{Service: "booking", Kind: keyspace.Keyed, Region: "alfold", Cell: cellName, Slices: testSlices, Line: 2}
 	s := storedSheet{Layout: keyspace.Layout{Services: []keyspace.Service{{Name: "booking", Kind: keyspace.Keyed, Ranges: []keyspace.Range{r}}}}}
@@ -189,7 +189,7 @@
 	return len(holders)
 }
 
-func startCell(t *testing.T, store platform.Store) []*testNode {
+func startCell(t *testing.T, store objects.Store) []*testNode {
 	t.Helper()
 	nodes := []*testNode{
 		startNode(t, store, "vm-a", "debrecen", "alfold"),
--- a/node/control/metrics.go
+++ b/node/control/metrics.go
@@ -5,7 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 type metrics struct {
@@ -59,9 +59,9 @@
 	result := "done"
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		result = "absent"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		result = "conflict"
 	default:
 		result = "failed"
--- a/node/control/record.go
+++ b/node/control/record.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -34,7 +34,7 @@
 	c.storeCall(ctx, func(ctx context.Context) cell.Event {
 		object, err := c.store.Get(ctx, c.recordKey())
 		c.metrics.stored("get", err)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objects.ErrNotFound) {
 			return cell.RecordRead{Status: cell.ReadAbsent}
 		}
 		if err != nil {
@@ -60,7 +60,7 @@
 		return
 	}
 	c.storeCall(ctx, func(ctx context.Context) cell.Event {
-		version, err := c.store.Put(ctx, c.recordKey(), value, platform.Version(e.Expected), e.ID)
+		version, err := c.store.Put(ctx, c.recordKey(), value, objects.Version(e.Expected), e.ID)
 		c.metrics.stored("put", err)
 		if err != nil {
 			c.log.Warn("record not written", "reason", err.Error(), "expected", e.Expected)
@@ -75,9 +75,9 @@
 	switch {
 	case err == nil:
 		return cell.WriteDone
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		return cell.WriteConflict
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrBudget, platform.ErrTooLarge):
+	case errors.IsAny(err, objects.ErrUnavailable, objects.ErrBudget, objects.ErrTooLarge):
 		return cell.WriteUnavailable
 	default:
 		return cell.WriteUnknown
--- a/node/control/recover_test.go
+++ b/node/control/recover_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // sheetWithin is the stated bound for an accepted sheet to be in force everywhere.
--- a/node/control/stops.go
+++ b/node/control/stops.go
@@ -9,7 +9,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/stop"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // stopsInterval is the time between two looks at what planned stops want.
@@ -18,11 +18,11 @@
 // writtenProgress is a progress with its version in the store.
 type writtenProgress struct {
 	stop.Progress
-	version platform.Version
+	version objects.Version
 }
 
 // stopsChanged takes the planned stops that operators have written.
-func (c *Control) stopsChanged(_ platform.Version, objects map[string]platform.Object) {
+func (c *Control) stopsChanged(_ objects.Version, objects map[string]objects.Object) {
 	stops := []stop.Stop{}
 	for key, object := range objects {
 		s, err := stop.Decode(object.Value)
@@ -122,7 +122,7 @@
 }
 
 // putProgress writes a progress; a lost answer is resolved by reading it again.
-func (c *Control) putProgress(ctx context.Context, p stop.Progress, expected platform.Version) (platform.Version, error) {
+func (c *Control) putProgress(ctx context.Context, p stop.Progress, expected objects.Version) (objects.Version, error) {
 	value, err := p.Encode()
 	if err != nil {
 		return 0, errors.Wrap(err, "encode progress")
--- a/node/control/stops_test.go
+++ b/node/control/stops_test.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/stop"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
-func writeStop(t *testing.T, store platform.Store, s stop.Stop, expected platform.Version) platform.Version {
+func writeStop(t *testing.T, store objects.Store, s stop.Stop, expected objects.Version) objects.Version {
 	t.Helper()
 	value, err := s.Encode()
 	if err != nil {
@@ -22,7 +22,7 @@
 	return version
 }
 
-func readyFor(t *testing.T, store platform.Store, id string) bool {
+func readyFor(t *testing.T, store objects.Store, id string) bool {
 	t.Helper()
 	object, err := store.Get(t.Context(), stop.ProgressKey(id, "alfold"))
 	if err != nil {
--- a/node/control/watch.go
+++ b/node/control/watch.go
@@ -12,7 +12,7 @@
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
 	"github.com/auburnrelay/auburnrelay/core/stop"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -40,7 +40,7 @@
 }
 
 // follow lists the objects below a prefix and polls for changes until the context ends.
-func (c *Control) follow(ctx context.Context, prefix string, changed func(platform.Version, map[string]platform.Object)) {
+func (c *Control) follow(ctx context.Context, prefix string, changed func(objects.Version, map[string]objects.Object)) {
 	defer c.calls.Done()
 	for ctx.Err() == nil {
 		listing, err := c.list(ctx, prefix)
@@ -48,7 +48,7 @@
 			c.pause(ctx, prefix, err)
 			continue
 		}
-		objects := make(map[string]platform.Object)
+		objects := make(map[string]objects.Object)
 		for _, o := range listing.Objects {
 			objects[o.Key] = o
 		}
@@ -57,7 +57,7 @@
 	}
 }
 
-func (c *Control) list(ctx context.Context, prefix string) (platform.Listing, error) {
+func (c *Control) list(ctx context.Context, prefix string) (objects.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	listing, err := c.store.List(ctx, prefix)
@@ -66,7 +66,7 @@
 }
 
 // poll follows changes until a poll fails; then the state is listed again.
-func (c *Control) poll(ctx context.Context, prefix string, after platform.Version, objects map[string]platform.Object, changed func(platform.Version, map[string]platform.Object)) {
+func (c *Control) poll(ctx context.Context, prefix string, after objects.Version, objects map[string]objects.Object, changed func(objects.Version, map[string]objects.Object)) {
 	for ctx.Err() == nil {
 		batch, err := c.store.Poll(ctx, prefix, after)
 		c.metrics.stored("poll", err)
@@ -88,7 +88,7 @@
 }
 
 // merge takes a change unless the object is already known at a newer version.
-func merge(objects map[string]platform.Object, e platform.Event) {
+func merge(objects map[string]objects.Object, e objects.Event) {
 	if old, ok := objects[e.Object.Key]; ok && old.Version > e.Object.Version {
 		return
 	}
@@ -115,7 +115,7 @@
 	Layout keyspace.Layout `json:"layout"`
 }
 
-func (c *Control) sheetChanged(_ platform.Version, objects map[string]platform.Object) {
+func (c *Control) sheetChanged(_ objects.Version, objects map[string]objects.Object) {
 	o, ok := objects[sheetKey]
 	if !ok {
 		return
@@ -129,7 +129,7 @@
 	c.post(cell.SheetRead{Layout: &sheet.Layout})
 }
 
-func (c *Control) cellsChanged(version platform.Version, objects map[string]platform.Object) {
+func (c *Control) cellsChanged(version objects.Version, objects map[string]objects.Object) {
 	e := cell.CellsRead{Version: int64(version)}
 	for key, o := range objects {
 		if key == c.recordKey() || !strings.HasPrefix(key, cellsPrefix) {
--- a/node/control/wirebytes_test.go
+++ b/node/control/wirebytes_test.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"google.golang.org/grpc/stats"
 
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // TestWireBytes demands that each part of an exchange counts once, under its service.
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -9,9 +9,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/auburnrelay/auburnrelay/node/settings"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/client"
-	"github.com/auburnrelay/auburnrelay/platform/httpstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/client"
+	"github.com/auburnrelay/auburnrelay/objects/httpstore"
 )
 
 // Run provisions a node over the store that its settings name and runs it.
@@ -29,7 +29,7 @@
 const pollMargin = 2 * time.Second
 
 // openStore returns the client of the object store, with the call budget of the settings.
-func openStore(store platform.Store, s settings.Store, registry prometheus.Registerer) *client.Client {
+func openStore(store objects.Store, s settings.Store, registry prometheus.Registerer) *client.Client {
 	return client.New(store, client.Options{
 		CallsPerSecond: s.CallsPerSecond,
 		Burst:          s.CallBurst,
--- /dev/null
+++ b/node/h1/h1.go
@@ -0,0 +1,336 @@
+// Package h1 makes HTTP/1.1 calls over pooled connections and tells exactly whether a request
+// may have reached its server.
+//
+// net/http.Transport repeats requests by itself and pairs an answer with whatever request is
+// next; here a request is sent once, and an answer that belongs to an earlier request is
+// dropped by the caller's Match.
+//
+// Lock order: Pool.mu is a leaf.
+package h1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// bufferBytes is the size of a connection's read buffer.
+	bufferBytes = 4 << 10
+	// maxStrays is the number of answers to earlier requests that are dropped before the
+	// connection is given up.
+	maxStrays = 2
+	// strayBytes bounds the body of an answer that is dropped.
+	strayBytes = 1 << 20
+)
+
+var (
+	// ErrNotSent reports that no byte of the request was given to a connection.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrRefused reports that nothing listens at the address; it comes with ErrNotSent.
+	ErrRefused = errors.New("connection refused")
+	// ErrBusy reports that the pool's connections are all in use; it comes with ErrNotSent.
+	ErrBusy = errors.New("no free connection")
+	// ErrStray reports a connection that answers with other requests' answers.
+	ErrStray = errors.New("answers do not belong to the request")
+)
+
+// Options are the settings of a Pool.
+type Options struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept when its server names no time.
+	IdleTimeout time.Duration
+	// Silence is how long sent bytes may stay unacknowledged before a connection breaks.
+	Silence time.Duration
+	// MaxConns caps the open connections to one address.
+	MaxConns int
+	// Dialed is called after each new connection; it may be nil.
+	Dialed func()
+}
+
+// Pool holds connections to any number of addresses. It is safe for concurrent use.
+type Pool struct {
+	options Options
+
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+type host struct {
+	idle []*conn
+	open int
+}
+
+type conn struct {
+	net.Conn
+	pool    *Pool
+	address string
+	reader  *bufio.Reader
+	expires time.Time
+	once    sync.Once
+}
+
+// NewPool returns an empty pool.
+func NewPool(o Options) *Pool { return &Pool{options: o, hosts: make(map[string]*host)} }
+
+// Call is one request to one address.
+type Call struct {
+	Address string
+	Request *http.Request
+	// Match tells whether an answer belongs to the request; nil accepts any.
+	Match func(*http.Response) bool
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Do sends the request once and returns the head of its answer; closing the answer's body frees
+// or closes the connection. When ctx ends, the connection is closed. An error is marked
+// ErrNotSent when no byte of the request left; otherwise the request may have been received.
+func (p *Pool) Do(ctx context.Context, call Call) (*http.Response, error) {
+	c, err := p.acquire(ctx, call.Address, call.Fresh)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	if ctx.Err() != nil {
+		p.release(c, true)
+		return nil, errors.Mark(ctx.Err(), ErrNotSent)
+	}
+	stop := context.AfterFunc(ctx, c.shut)
+	sender := &sender{conn: c}
+	if !hasBody(call.Request) {
+		if err := call.Request.Write(sender); err != nil {
+			stop()
+			c.shut()
+			return nil, sender.classify(err)
+		}
+		sender.finished.Store(true)
+	} else {
+		go sender.send(call.Request)
+	}
+	response, err := c.readAnswer(call)
+	if err != nil {
+		stop()
+		c.shut()
+		return nil, sender.classify(err)
+	}
+	response.Body = &body{ReadCloser: response.Body, conn: c, stop: stop, sender: sender, keep: c.mayKeep(response)}
+	return response, nil
+}
+
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
+// readAnswer reads answers until one belongs to the call.
+func (c *conn) readAnswer(call Call) (*http.Response, error) {
+	for strays := 0; ; {
+		response, err := http.ReadResponse(c.reader, call.Request)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the answer")
+		}
+		if response.StatusCode/100 == 1 {
+			continue
+		}
+		if call.Match == nil || call.Match(response) {
+			return response, nil
+		}
+		strays++
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes))
+		if err != nil || n == strayBytes || response.Close || strays > maxStrays {
+			return nil, errors.Wrapf(ErrStray, "%d answers dropped", strays)
+		}
+	}
+}
+
+// mayKeep reports whether the connection can carry another request after the answer, and sets
+// the time until which its server keeps it.
+func (c *conn) mayKeep(response *http.Response) bool {
+	c.expires = time.Now().Add(keepTime(response.Header.Get("Keep-Alive"), c.pool.options.IdleTimeout))
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return !response.Close && framed
+}
+
+// body is an answer's body; it gives the connection back once it was read whole.
+type body struct {
+	io.ReadCloser
+	conn   *conn
+	stop   func() bool
+	sender *sender
+	keep   bool
+	ended  bool
+	once   sync.Once
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.once.Do(func() {
+		quiet := b.stop()
+		b.conn.pool.release(b.conn, !quiet || !b.ended || !b.keep || !b.sender.finished.Load())
+	})
+	return nil
+}
+
+func (c *conn) shut() {
+	c.once.Do(func() {
+		_ = c.Conn.Close()
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		c.pool.hosts[c.address].open--
+	})
+}
+
+func (p *Pool) release(c *conn, broken bool) {
+	if broken || c.reader.Buffered() > 0 {
+		c.shut()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.address]
+	h.idle = append(h.idle, c)
+}
+
+func (p *Pool) acquire(ctx context.Context, address string, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.expires) && c.isQuiet() {
+			return c, nil
+		}
+		c.shut()
+	}
+	if !p.reserve(address) {
+		return nil, errors.Wrapf(ErrBusy, "address %s", address)
+	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.hosts[address].open--
+		return nil, err
+	}
+	return c, nil
+}
+
+func (p *Pool) takeIdle(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	last := len(h.idle) - 1
+	c := h.idle[last]
+	h.idle = h.idle[:last]
+	return c
+}
+
+// reserve counts a connection in before it is opened.
+func (p *Pool) reserve(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	if h.open >= p.options.MaxConns {
+		return false
+	}
+	h.open++
+	return true
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: p.options.DialTimeout, Control: p.control}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Mark(err, ErrRefused)
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	if p.options.Dialed != nil {
+		p.options.Dialed()
+	}
+	return &conn{Conn: connection, pool: p, address: address, reader: bufio.NewReaderSize(connection, bufferBytes)}, nil
+}
+
+func (p *Pool) control(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.options.Silence.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// Drop closes the idle connections to the address.
+func (p *Pool) Drop(address string) {
+	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
+		c.shut()
+	}
+}
+
+// Open returns the number of open connections to the address.
+func (p *Pool) Open(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[address]; h != nil {
+		return h.open
+	}
+	return 0
+}
+
+// Close closes every idle connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	addresses := make([]string, 0, len(p.hosts))
+	for address := range p.hosts {
+		addresses = append(addresses, address)
+	}
+	p.mu.Unlock()
+	for _, address := range addresses {
+		p.Drop(address)
+	}
+}
+
+// isQuiet reports whether an idle connection is open with nothing to read: bytes that came
+// without a request belong to none, and an end means that the server closed it.
+func (c *conn) isQuiet() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, e := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(e, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/node/h1/h1_test.go
@@ -0,0 +1,187 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// scripted listens and gives each connection to serve.
+func scripted(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func newPool(dials *int) *Pool {
+	return NewPool(Options{
+		DialTimeout: time.Second, IdleTimeout: time.Minute, Silence: time.Second, MaxConns: 4,
+		Dialed: func() { *dials++ },
+	})
+}
+
+func get(t *testing.T, p *Pool, address, id string) (string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://target/a", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", id)
+	match := func(r *http.Response) bool { return r.Header.Get("Id") == id }
+	response, err := p.Do(context.Background(), Call{Address: address, Request: request, Match: match})
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+func answer(c net.Conn, id, text string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: "+
+		string(rune('0'+len(text)))+"\r\n\r\n"+text)
+}
+
+// TestStrayAnswerIsDropped pairs answers with requests by id: a second answer to an earlier
+// request must not become the answer to the next.
+func TestStrayAnswerIsDropped(t *testing.T) {
+	dials := 0
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		previous := ""
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get("Id")
+			if previous != "" {
+				answer(c, previous, "old")
+			}
+			answer(c, id, id)
+			previous = id
+		}
+	})
+	p := newPool(&dials)
+	for _, id := range []string{"a", "b", "c"} {
+		if got, err := get(t, p, address, id); err != nil || got != id {
+			t.Errorf("request %s: got %q, %v", id, got, err)
+		}
+	}
+	if dials != 1 {
+		t.Errorf("%d connections", dials)
+	}
+}
+
+// TestExtraBytesEndTheConnection sends bytes after a whole answer: they belong to no request.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	dials := 0
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, request.Header.Get("Id"), "ok")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+		}
+	})
+	p := newPool(&dials)
+	for _, id := range []string{"a", "b"} {
+		if got, err := get(t, p, address, id); err != nil || got != "ok" {
+			t.Errorf("request %s: got %q, %v", id, got, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if dials != 2 {
+		t.Errorf("%d connections, want a new one after extra bytes", dials)
+	}
+}
+
+// TestNotSent tells requests that never left from those that may have run.
+func TestNotSent(t *testing.T) {
+	dials := 0
+	closing := scripted(t, func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := l.Addr().String()
+	_ = l.Close()
+	p := newPool(&dials)
+	if _, err := get(t, p, gone, "a"); !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrRefused) {
+		t.Errorf("refused connection: %v", err)
+	}
+	if _, err := get(t, p, closing, "a"); err == nil || errors.Is(err, ErrNotSent) {
+		t.Errorf("a request that was read: %v", err)
+	}
+}
+
+// TestCutBodyIsAnError ends an answer before its length.
+func TestCutBodyIsAnError(t *testing.T) {
+	dials := 0
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nhalf")
+		}
+	})
+	if got, err := get(t, newPool(&dials), address, "a"); err == nil {
+		t.Errorf("got %q without an error", got)
+	}
+}
+
+// TestEarlyAnswerEndsTheConnection answers before the body was sent whole: the connection must
+// not carry another request, whose bytes would be read as the rest of the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	dials := 0
+	address := scripted(t, func(c net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(c, request.Header.Get("Id"), "ok")
+		time.Sleep(time.Second)
+	})
+	p := newPool(&dials)
+	for _, id := range []string{"a", "b"} {
+		reader, writer := io.Pipe()
+		go func() { _, _ = io.WriteString(writer, strings.Repeat("x", 10)) }()
+		request, err := http.NewRequest(http.MethodPost, "http://target/a", reader)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Id", id)
+		response, err := p.Do(context.Background(), Call{Address: address, Request: request})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		_ = writer.Close()
+	}
+	if dials != 2 {
+		t.Errorf("%d connections", dials)
+	}
+}
--- /dev/null
+++ b/node/hop/hop.go
@@ -0,0 +1,224 @@
+// Package hop passes requests between nodes: HTTP/1.1 with the caller's request as it is and a
+// few headers of its own, which the receiving node takes off.
+//
+// The answer says how the request ended. A node that is not the one the sender meant, or that
+// guards another target, says so and has run nothing.
+package hop
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/exchange"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
+	"github.com/auburnrelay/auburnrelay/node/relay"
+)
+
+// Headers between nodes; the receiver takes off what begins with the prefix.
+const (
+	prefix         = "Auburnrelay-"
+	headerNode     = prefix + "Node"
+	headerService  = prefix + "Service"
+	headerCaller   = prefix + "Caller"
+	headerKind     = prefix + "Kind"
+	headerPriority = prefix + "Priority"
+	headerWait     = prefix + "Wait-Us"
+	headerAim      = prefix + "Objective-Us"
+	headerOutcome  = prefix + "Outcome"
+	headerReason   = prefix + "Reason"
+	headerReached  = prefix + "Reached"
+	headerRetry    = prefix + "Retry-Us"
+	headerTarget   = prefix + "Target"
+)
+
+// answerMargin is how much longer than the request's deadline the sender waits: the guard's own
+// margin and the way back across regions.
+const answerMargin = 150 * time.Millisecond
+
+// Client sends requests to other nodes.
+type Client struct {
+	pool *h1.Pool
+}
+
+// NewClient returns a client over the pool.
+func NewClient(pool *h1.Pool) *Client { return &Client{pool: pool} }
+
+// Send passes a request to the node of a destination and returns how it ended.
+func (c *Client) Send(ctx context.Context, r *relay.Request, d ownership.Destination) relay.Result {
+	if !r.Body.Replayable() {
+		return relay.NotRun(outcome.ReasonRetryBudget)
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline.Add(answerMargin))
+	out := r.Outgoing()
+	setHead(out.Header, r, d)
+	response, err := c.pool.Do(ctx, h1.Call{Address: d.Address, Request: out})
+	if err != nil {
+		cancel()
+		return sendFailed(ctx, err)
+	}
+	result := readResult(ctx, response)
+	if result.Answer != nil && result.Answer.Rest != nil {
+		result.Answer.Rest = relay.OnClose(result.Answer.Rest, cancel)
+	} else {
+		cancel()
+	}
+	return result
+}
+
+func setHead(h http.Header, r *relay.Request, d ownership.Destination) {
+	h.Set(headerNode, d.Node)
+	h.Set(headerService, r.Service)
+	h.Set(headerCaller, r.CallerService)
+	h.Set(headerKind, strconv.Itoa(int(r.Kind)))
+	h.Set(headerPriority, strconv.Itoa(r.Priority))
+	h.Set(headerWait, strconv.FormatInt(r.Left().Microseconds(), 10))
+	h.Set(headerAim, strconv.FormatInt(r.Objective.Microseconds(), 10))
+}
+
+func sendFailed(ctx context.Context, err error) relay.Result {
+	result := relay.Unknown(outcome.ReasonPeerLost)
+	switch {
+	case errors.Is(err, h1.ErrNotSent):
+		result = relay.NotRun(outcome.ReasonPeerUnreachable)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		result = relay.Unknown(outcome.ReasonDeadline)
+	case ctx.Err() != nil:
+		result = relay.Unknown(outcome.ReasonCancelled)
+	}
+	result.Detail = err.Error()
+	return result
+}
+
+func readResult(ctx context.Context, response *http.Response) relay.Result {
+	h := response.Header
+	target := h.Get(headerTarget)
+	end := outcome.End{Outcome: parseOutcome(h.Get(headerOutcome)), Reason: outcome.Reason(h.Get(headerReason))}
+	if micros, err := strconv.ParseInt(h.Get(headerRetry), 10, 64); err == nil {
+		end.RetryAfter = time.Duration(micros) * time.Microsecond
+	}
+	reached := h.Get(headerReached) != ""
+	stripOwn(h)
+	if end.Outcome != outcome.Answered {
+		_, _ = relay.TakeAnswer(response)
+		return relay.Result{End: end, Reached: reached, Target: target}
+	}
+	answer, err := relay.TakeAnswer(response)
+	if err != nil {
+		result := relay.Unknown(outcome.ReasonTruncated)
+		if ctx.Err() != nil {
+			result.Reason = outcome.ReasonCancelled
+		}
+		result.Target, result.Detail = target, err.Error()
+		return result
+	}
+	return relay.Result{End: end, Answer: answer, Reached: true, Target: target}
+}
+
+func stripOwn(h http.Header) {
+	for name := range h {
+		if len(name) > len(prefix) && name[:len(prefix)] == prefix {
+			delete(h, name)
+		}
+	}
+}
+
+// parseOutcome reads an outcome; what is not known may have run.
+func parseOutcome(word string) outcome.Outcome {
+	for _, o := range []outcome.Outcome{outcome.Answered, outcome.NotRun} {
+		if o.String() == word {
+			return o
+		}
+	}
+	return outcome.Unknown
+}
+
+// Server takes requests of other nodes to the local target.
+type Server struct {
+	node  string
+	codec exchange.Codec
+	serve func(context.Context, *relay.Request) relay.Result
+	log   *slog.Logger
+}
+
+// NewServer returns the http.Handler of the node that serves by serve.
+func NewServer(
+	node string, codec exchange.Codec, serve func(context.Context, *relay.Request) relay.Result, log *slog.Logger,
+) *Server {
+	return &Server{node: node, codec: codec, serve: serve, log: log}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	request, reason := s.read(r, arrived)
+	result := relay.NotRun(reason)
+	if reason == outcome.ReasonNone {
+		result = s.serve(r.Context(), request)
+	}
+	if result.Outcome != outcome.Answered {
+		s.log.Info("hop ended", "id", idOf(request), "outcome", result.Outcome.String(),
+			"reason", string(result.Reason), "detail", result.Detail, "target", result.Target,
+			"took_ms", time.Since(arrived).Milliseconds())
+	}
+	writeResult(w, r.Method, result)
+}
+
+func idOf(r *relay.Request) string {
+	if r == nil {
+		return ""
+	}
+	return r.ID
+}
+
+func (s *Server) read(r *http.Request, arrived time.Time) (*relay.Request, outcome.Reason) {
+	h := r.Header
+	head, err := s.codec.Request(h)
+	wait, waitErr := strconv.ParseInt(h.Get(headerWait), 10, 64)
+	if err != nil || waitErr != nil || h.Get(headerNode) != s.node {
+		return nil, outcome.ReasonPeerIdentity
+	}
+	kind, _ := strconv.Atoi(h.Get(headerKind))
+	priority, _ := strconv.Atoi(h.Get(headerPriority))
+	aim, _ := strconv.ParseInt(h.Get(headerAim), 10, 64)
+	body, err := relay.ReadBody(r.Body, r.ContentLength)
+	if err != nil {
+		return nil, outcome.ReasonCancelled
+	}
+	request := &relay.Request{
+		Head: head, Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body,
+		Service: h.Get(headerService), CallerService: h.Get(headerCaller),
+		Kind: routing.Kind(kind), Priority: priority,
+		Objective: time.Duration(aim) * time.Microsecond,
+		Deadline:  arrived.Add(time.Duration(wait) * time.Microsecond),
+	}
+	stripOwn(h)
+	request.Header = h
+	return request, outcome.ReasonNone
+}
+
+func writeResult(w http.ResponseWriter, method string, result relay.Result) {
+	h := w.Header()
+	h.Set(headerOutcome, result.Outcome.String())
+	h.Set(headerTarget, result.Target)
+	if result.Outcome == outcome.Answered {
+		result.Answer.Send(w, method)
+		return
+	}
+	h.Set(headerReason, string(result.Reason))
+	if result.Reached {
+		h.Set(headerReached, "1")
+	}
+	if result.RetryAfter > 0 {
+		h.Set(headerRetry, strconv.FormatInt(result.RetryAfter.Microseconds(), 10))
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/node/ingress/ingress.go
@@ -0,0 +1,150 @@
+// Package ingress takes requests of the callers on this machine, finds their route and target,
+// and answers each exactly once: with the target's answer, with a refusal that the request has
+// not run, or with the word that it may have run.
+//
+// Lock order: Dispatcher.mu is a leaf.
+package ingress
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/exchange"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/node/relay"
+)
+
+const (
+	// startRetry is when a caller may come back while no configuration is known.
+	startRetry = 250 * time.Millisecond
+	// maxRetryShare is the largest part of the time left that callers wait before they try again.
+	maxRetryShare = 0.3
+	// defaultWait bounds a request that states no time on a route without a timeout.
+	defaultWait = 30 * time.Second
+)
+
+// Handler is the http.Handler for callers.
+type Handler struct {
+	codec    exchange.Codec
+	config   func() *routing.Config
+	dispatch *Dispatcher
+	service  string
+	log      *slog.Logger
+}
+
+// NewHandler returns the handler of a node beside a target of the service.
+func NewHandler(codec exchange.Codec, config func() *routing.Config, d *Dispatcher, service string, log *slog.Logger) *Handler {
+	return &Handler{codec: codec, config: config, dispatch: d, service: service, log: log}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	head, headErr := h.codec.Request(r.Header)
+	config := h.config()
+	if config == nil {
+		h.refuse(w, head.ID, http.StatusServiceUnavailable, startRetry, "no configuration")
+		return
+	}
+	route := config.Lookup(r.Host, r.URL.Path)
+	if route == nil {
+		h.log.Info("no route", "id", head.ID, "host", r.Host, "path", r.URL.Path, "config", config.Version)
+		h.refuse(w, head.ID, http.StatusNotFound, 0, "no route")
+		return
+	}
+	if headErr != nil {
+		h.log.Info("request malformed", "id", head.ID, "cause", headErr.Error())
+		h.refuse(w, head.ID, http.StatusBadRequest, 0, headErr.Error())
+		return
+	}
+	if limit := config.Limits.BodyBytes; limit > 0 {
+		if r.ContentLength > limit {
+			h.refuse(w, head.ID, http.StatusRequestEntityTooLarge, 0, "body too long")
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	body, err := relay.ReadBody(r.Body, r.ContentLength)
+	if err != nil {
+		h.log.Info("request not read", "id", head.ID, "cause", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	request := h.request(r, head, route, body, arrived)
+	result := h.dispatch.Do(r.Context(), request, route)
+	h.report(request, route, config, result, arrived)
+	h.answer(w, request, result)
+}
+
+func (h *Handler) request(
+	r *http.Request, head exchange.Head, route *routing.Route, body *relay.Body, arrived time.Time,
+) *relay.Request {
+	wait := defaultWait
+	if route.Timeout > 0 {
+		wait = route.Timeout
+	}
+	if head.Wait > 0 {
+		wait = min(wait, head.Wait)
+	}
+	for name := range r.Header {
+		if strings.HasPrefix(name, "Auburnrelay-") {
+			delete(r.Header, name)
+		}
+	}
+	return &relay.Request{
+		Head: head, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Service: route.Pick(rand.Float64()), CallerService: h.service,
+		Kind: route.Kind, Priority: route.Priority, Objective: route.Objective,
+		Deadline: arrived.Add(wait),
+	}
+}
+
+// report logs how a request ended.
+func (h *Handler) report(r *relay.Request, route *routing.Route, config *routing.Config, result relay.Result, arrived time.Time) {
+	if result.Outcome == outcome.Answered && result.Answer.Status < http.StatusInternalServerError {
+		h.log.Debug("request ended", "id", r.ID, "route", route.Name, "target", result.Target, "status", result.Answer.Status,
+			"took_ms", time.Since(arrived).Milliseconds())
+		return
+	}
+	status := 0
+	if result.Answer != nil {
+		status = result.Answer.Status
+	}
+	h.log.Info("request ended", "id", r.ID, "route", route.Name, "kind", route.Kind.String(), "config", config.Version,
+		"service", r.Service, "key", r.Key, "outcome", result.Outcome.String(), "reason", string(result.Reason),
+		"status", status, "target", result.Target, "detail", result.Detail,
+		"took_ms", time.Since(arrived).Milliseconds(), "left_ms", r.Left().Milliseconds())
+}
+
+// answer writes the one answer of a request.
+func (h *Handler) answer(w http.ResponseWriter, r *relay.Request, result relay.Result) {
+	switch result.Outcome {
+	case outcome.Answered:
+		result.Answer.Send(w, r.Method)
+	case outcome.NotRun:
+		after := max(result.RetryAfter, minRetryAfter)
+		after = min(after, time.Duration(maxRetryShare*float64(max(0, r.Left()))))
+		h.refuse(w, r.ID, http.StatusServiceUnavailable, after, string(result.Reason))
+	default:
+		status := http.StatusBadGateway
+		if result.Reason == outcome.ReasonDeadline {
+			status = http.StatusGatewayTimeout
+		}
+		h.refuse(w, r.ID, status, 0, string(result.Reason))
+	}
+}
+
+// minRetryAfter is the shortest time after which a refused caller is asked to come back: about
+// the work time of one request, in which a slot may become free.
+const minRetryAfter = 60 * time.Millisecond
+
+func (h *Handler) refuse(w http.ResponseWriter, id string, status int, after time.Duration, reason string) {
+	h.codec.Refusal(w.Header(), id, after)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// A failed write is a caller that left.
+	_, _ = w.Write([]byte(reason + "\n"))
+}
--- a/node/ledger/collect.go
+++ b/node/ledger/collect.go
@@ -11,7 +11,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/account"
 	"github.com/auburnrelay/auburnrelay/core/cell"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
 )
 
@@ -23,7 +23,7 @@
 // collecting is the controller's side. The collector is nil while the node is not its
 // cell's controller or has not found the cell's last segment.
 type collecting struct {
-	store platform.Store
+	store objects.Store
 
 	mu        sync.Mutex
 	collector *account.Collector
@@ -150,7 +150,7 @@
 // known is repeated unchanged; its id tells it from another collector's.
 func (l *Ledger) write(ctx context.Context, sealed account.Sealed) {
 	_, err := l.collecting.store.Put(ctx, sealed.Key(), sealed.Value, 0, sealed.Digest)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		l.resolve(ctx, sealed)
 		return
 	}
--- a/node/ledger/find.go
+++ b/node/ledger/find.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/core/account"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // monthsBack is how many months without a segment are searched for the cell's last one.
@@ -15,7 +15,7 @@
 
 // finder searches for the last segment of a cell.
 type finder struct {
-	store platform.Store
+	store objects.Store
 	cell  string
 	// hint is a segment known to be in the store; the zero ID if none is.
 	hint account.ID
@@ -68,7 +68,7 @@
 func (f finder) get(ctx context.Context, month string, number uint64) (*account.Sealed, error) {
 	id := account.ID{Cell: f.cell, Month: month, Number: number}
 	object, err := f.store.Get(ctx, id.Key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -13,7 +13,7 @@
 	"github.com/auburnrelay/auburnrelay/core/cell"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/plane"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 	pb "github.com/auburnrelay/auburnrelay/wire/gen/auburnrelay/v1"
 )
 
@@ -77,7 +77,7 @@
 }
 
 // New returns a ledger over the store.
-func New(config Config, store platform.Store, directory Directory, peers Connections) *Ledger {
+func New(config Config, store objects.Store, directory Directory, peers Connections) *Ledger {
 	l := &Ledger{config: config, directory: directory, peers: peers, log: config.Logger}
 	l.metrics = newMetrics(config.Registry)
 	l.reporter = account.NewReporter(l.process(), config.Now())
--- a/node/ledger/ledger_test.go
+++ b/node/ledger/ledger_test.go
@@ -16,7 +16,7 @@
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/forward"
 	"github.com/auburnrelay/auburnrelay/node/plane"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // bench is three nodes of one cell with a store and a wall clock of their own.
--- a/node/node.go
+++ b/node/node.go
@@ -25,8 +25,8 @@
 	"github.com/auburnrelay/auburnrelay/node/settings"
 	"github.com/auburnrelay/auburnrelay/node/sharing"
 	"github.com/auburnrelay/auburnrelay/node/target"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/client"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/client"
 )
 
 const (
@@ -70,7 +70,7 @@
 // Stores are the two ways to the object store. The control side makes its calls one at a time
 // and must learn of an outage at once; all else draws on the call budget and is retried.
 type Stores struct {
-	Record   platform.Store
+	Record   objects.Store
 	Budgeted *client.Client
 }
 
--- /dev/null
+++ b/node/ownership/lease.go
@@ -0,0 +1,217 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/core/holding"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/client"
+)
+
+const (
+	// callTimeout bounds one try of a store call: the store answers in 4 ms, or in 240 ms when
+	// it is slow.
+	callTimeout = 600 * time.Millisecond
+	// retryPause is the time before a failed renewal is tried again.
+	retryPause = 150 * time.Millisecond
+)
+
+// renewLoop writes the own entry again and again.
+func (o *Ownership) renewLoop(ctx context.Context) {
+	continued := false
+	lost := false
+	for ctx.Err() == nil {
+		ok := o.renewOnce(ctx, &continued)
+		if ok == lost {
+			lost = !ok
+			o.logStore(lost)
+		}
+		pause := o.cfg.Timing.Renew
+		if !ok {
+			pause = retryPause
+		}
+		wait(ctx, pause, o.renew)
+	}
+}
+
+func (o *Ownership) logStore(lost bool) {
+	if lost {
+		o.cfg.Log.Warn("dependency lost", "dependency", "store", "task", "lease")
+		return
+	}
+	o.cfg.Log.Info("dependency regained", "dependency", "store", "task", "lease")
+}
+
+// renewOnce writes the entry on the version last known. continued tells that this version is a
+// write of this process that nobody has replaced.
+func (o *Ownership) renewOnce(ctx context.Context, continued *bool) bool {
+	if !*continued {
+		known, err := o.readOwn(ctx)
+		if err != nil {
+			return false
+		}
+		*continued = known
+	}
+	entry, expected := o.nextEntry()
+	value, err := json.Marshal(entry)
+	if err != nil {
+		panic("entry cannot be encoded: " + err.Error())
+	}
+	sent := o.cfg.Clock()
+	version, err := o.put(ctx, NodesPrefix+entry.Name, value, expected)
+	if err != nil {
+		// The write may still take effect. Only what is read back tells whose the entry is.
+		*continued = false
+		o.cfg.Log.Warn("lease not renewed", "version", int64(expected), "cause", err.Error())
+		return false
+	}
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version = version
+	o.lease.Renewed(sent, *continued)
+	o.observe(&entry, version, now)
+	if !*continued {
+		o.cfg.Log.Info("lease taken", "version", int64(version), "until_ms", (sent + o.cfg.Timing.Lease - now).Milliseconds())
+	}
+	*continued = true
+	o.rebuild(now)
+	signal(o.kick)
+	return true
+}
+
+// readOwn reads the own entry and reports whether its lease was not revoked. An entry of a
+// former process of this node is as good as one's own: that process has ended.
+func (o *Ownership) readOwn(ctx context.Context) (bool, error) {
+	object, err := o.get(ctx, NodesPrefix+o.cfg.Self.Name)
+	if errors.Is(err, objects.ErrNotFound) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.version = 0
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	entry, err := decodeEntry(object)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version = object.Version
+	if err != nil {
+		o.cfg.Log.Warn("own entry replaced", "cause", err.Error())
+		return false, nil
+	}
+	if entry.RevokedBy != "" {
+		o.lease.Lost()
+		o.cfg.Log.Warn("lease revoked", "by", entry.RevokedBy, "version", int64(object.Version))
+	}
+	return entry.RevokedBy == "", nil
+}
+
+// nextEntry returns the entry to write and the version that it replaces.
+func (o *Ownership) nextEntry() (Entry, objects.Version) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cfg.Self.Renewal++
+	entry := o.cfg.Self
+	entry.Stopping = o.stopping
+	if l := o.life; l != nil && !l.isGone(o.cfg.Clock(), o.cfg.Timing.Silence) {
+		entry.Target = &Target{
+			ID: l.report.ID, Born: l.report.Born, Service: l.report.Service, Slots: l.report.Slots,
+			Draining: l.isLeaving(),
+		}
+	}
+	return entry, o.version
+}
+
+// put makes one try of a conditional write and, when its answer is lost, reads back once.
+func (o *Ownership) put(ctx context.Context, key string, value []byte, expected objects.Version) (objects.Version, error) {
+	id := client.NewWriteID()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	version, err := o.store.Put(call, key, value, expected, id)
+	cancel()
+	if err == nil || !errors.Is(err, objects.ErrUnknownOutcome) {
+		return version, err
+	}
+	object, readErr := o.get(ctx, key)
+	if readErr == nil && object.WriteID == id {
+		return object.Version, nil
+	}
+	return 0, err
+}
+
+func (o *Ownership) get(ctx context.Context, key string) (objects.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return o.store.Get(ctx, key)
+}
+
+// lookLoop reads the entries of all nodes.
+func (o *Ownership) lookLoop(ctx context.Context) {
+	list := o.store.List
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		listing, err := list(call, NodesPrefix)
+		cancel()
+		pause := o.cfg.Timing.Look
+		if err == nil {
+			list = o.store.ListStale
+			o.observeAll(listing)
+		} else {
+			o.cfg.Log.Warn("entries not read", "cause", err.Error())
+		}
+		if o.isGathering() {
+			pause = o.cfg.Timing.Act
+		}
+		wait(ctx, pause, nil)
+	}
+}
+
+// isGathering reports whether the process has just started and still looks for the others.
+func (o *Ownership) isGathering() bool { return o.cfg.Clock()-o.started < 2*o.cfg.Timing.Gather }
+
+func (o *Ownership) observeAll(listing objects.Listing) {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	present := make(map[string]bool, len(listing.Objects))
+	for _, object := range listing.Objects {
+		entry, err := decodeEntry(object)
+		if err != nil {
+			o.cfg.Log.Warn("entry ignored", "cause", err.Error())
+			continue
+		}
+		present[entry.Name] = true
+		o.observe(entry, object.Version, now)
+	}
+	for name, p := range o.peers {
+		if !present[name] && p.version <= listing.Version {
+			delete(o.peers, name)
+			o.cfg.Log.Info("node removed", "node", name, "version", int64(listing.Version))
+		}
+	}
+	o.rebuild(now)
+	signal(o.kick)
+}
+
+// observe takes in an entry if it is newer than what is known; the caller holds the lock.
+func (o *Ownership) observe(entry *Entry, version objects.Version, now time.Duration) {
+	p := o.peers[entry.Name]
+	if p == nil {
+		p = &peer{watch: holding.Watch{}}
+		o.peers[entry.Name] = p
+		o.cfg.Log.Info("node found", "node", entry.Name, "address", entry.Address, "version", int64(version))
+	}
+	if version <= p.version {
+		return
+	}
+	if p.entry != nil && p.entry.Incarnation != entry.Incarnation {
+		o.cfg.Log.Info("node restarted", "node", entry.Name, "incarnation", entry.Incarnation)
+	}
+	p.entry, p.version = entry, version
+	p.watch.Observe(int64(version), now)
+}
--- /dev/null
+++ b/node/ownership/view.go
@@ -0,0 +1,223 @@
+package ownership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/holding"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// Destination is a target as other nodes see it, beside the node that guards it.
+type Destination struct {
+	Node          string
+	Incarnation   string
+	Address       string
+	Region        string
+	FailureDomain string
+	Target        string
+	Slots         int
+	// Local tells that the target stands beside this node.
+	Local bool
+	// Ready tells that the target takes new work of a shared service.
+	Ready bool
+}
+
+// View is what is known of all services at one time. It is immutable.
+type View struct {
+	services map[string]*serviceView
+}
+
+type serviceView struct {
+	targets []Destination
+	// owners has the index in all of each slice's owner; negative if it has none that is known.
+	owners [holding.Slices]int
+	keyed  bool
+	all    []Destination
+	// version is the table's.
+	version int64
+}
+
+// View returns what is known now.
+func (o *Ownership) View() *View { return o.view.Load() }
+
+// Targets returns the targets of a service.
+func (v *View) Targets(service string) []Destination {
+	if s := v.services[service]; s != nil {
+		return s.targets
+	}
+	return nil
+}
+
+// IsKeyed reports whether the service has a table of slices.
+func (v *View) IsKeyed(service string) bool {
+	s := v.services[service]
+	return s != nil && s.keyed
+}
+
+// Owner returns the target that holds a key, and the version of the table that says so.
+func (v *View) Owner(service string, key int) (Destination, int64, bool) {
+	s := v.services[service]
+	if s == nil || !s.keyed {
+		return Destination{}, 0, false
+	}
+	i := s.owners[holding.SliceOf(key)]
+	if i < 0 {
+		return Destination{}, s.version, false
+	}
+	return s.all[i], s.version, true
+}
+
+// rebuild makes the view anew; the caller holds the lock.
+func (o *Ownership) rebuild(now time.Duration) {
+	v := &View{services: make(map[string]*serviceView)}
+	service := func(name string) *serviceView {
+		s := v.services[name]
+		if s == nil {
+			s = &serviceView{}
+			v.services[name] = s
+		}
+		return s
+	}
+	for _, p := range o.peers {
+		if t := p.entry.Target; t != nil && p.isLive(now) {
+			s := service(t.Service)
+			s.targets = append(s.targets, o.destination(p))
+		}
+	}
+	for _, s := range v.services {
+		slices.SortFunc(s.targets, func(a, b Destination) int { return strings.Compare(a.Node, b.Node) })
+	}
+	for name, t := range o.tables {
+		service(name).setOwners(t, o.ownerDestination)
+	}
+	o.view.Store(v)
+}
+
+func (s *serviceView) setOwners(t *table, find func(holding.Owner) (Destination, bool)) {
+	s.keyed, s.version = true, int64(t.version)
+	index := make([]int, len(t.Owners))
+	for i, owner := range t.Owners {
+		index[i] = -1
+		if d, ok := find(owner); ok {
+			index[i] = len(s.all)
+			s.all = append(s.all, d)
+		}
+	}
+	for i, slice := range t.Slices {
+		s.owners[i] = -1
+		if slice.Owner >= 0 {
+			s.owners[i] = index[slice.Owner]
+		}
+	}
+}
+
+func (o *Ownership) destination(p *peer) Destination {
+	t := p.entry.Target
+	return Destination{
+		Node: p.entry.Name, Incarnation: p.entry.Incarnation, Address: p.entry.Address,
+		Region: p.entry.Region, FailureDomain: p.entry.FailureDomain,
+		Target: t.ID, Slots: t.Slots, Local: p.entry.Name == o.cfg.Self.Name,
+		Ready: !t.Draining && !p.entry.Stopping,
+	}
+}
+
+func (o *Ownership) ownerDestination(owner holding.Owner) (Destination, bool) {
+	p := o.peers[owner.Node]
+	if p == nil {
+		return Destination{}, false
+	}
+	return Destination{
+		Node: p.entry.Name, Incarnation: p.entry.Incarnation, Address: p.entry.Address,
+		Region: p.entry.Region, FailureDomain: p.entry.FailureDomain,
+		Target: owner.Target, Local: owner.Node == o.cfg.Self.Name, Ready: true,
+	}, true
+}
+
+// Local is the target beside this node as a request may be sent to it now.
+type Local struct {
+	ID      string
+	Born    int64
+	Address string
+	Service string
+	Slots   int
+}
+
+// Admit returns the local target if a request of the service, with a key if hasKey, may be sent
+// to it now, and otherwise the reason why not.
+func (o *Ownership) Admit(service string, hasKey bool, key int) (Local, outcome.Reason) {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.life
+	if l == nil || l.dead || l.report.Service != service {
+		return Local{}, outcome.ReasonTargetAbsent
+	}
+	local := Local{
+		ID: l.report.ID, Born: l.report.Born, Address: l.report.Address, Service: service, Slots: l.report.Slots,
+	}
+	if !hasKey || !o.cfg.IsKeyed(service) {
+		if l.isLeaving() {
+			return local, outcome.ReasonTargetDraining
+		}
+		return local, outcome.ReasonNone
+	}
+	if l.isLeaving() && now-l.leftAt > o.cfg.Timing.DrainGrace {
+		return local, outcome.ReasonTargetDraining
+	}
+	return local, o.holds(l, service, holding.SliceOf(key), now)
+}
+
+// holds tells why the target does not hold a slice; the caller holds the lock.
+func (o *Ownership) holds(l *life, service string, slice int, now time.Duration) outcome.Reason {
+	t := o.tables[service]
+	if t == nil {
+		return outcome.ReasonNoOwner
+	}
+	owner, ok := t.OwnerOf(slice)
+	if !ok || owner != l.owner(o.cfg.Self.Name) {
+		return outcome.ReasonNotOwner
+	}
+	if l.isLapsed(now) {
+		return outcome.ReasonLeaseLapsed
+	}
+	// Until an answer leaves the slice out, the target holds it also while it is to move.
+	if l.granted[slice] == 0 || l.granted[slice] != l.answered {
+		return outcome.ReasonMoving
+	}
+	return outcome.ReasonNone
+}
+
+// Status is what the admin listener shows.
+type Status struct {
+	Node       string           `json:"node"`
+	LeaseValid bool             `json:"lease_valid"`
+	Proved     bool             `json:"lease_proved"`
+	Nodes      []string         `json:"nodes"`
+	Tables     map[string]int64 `json:"tables"`
+	Target     string           `json:"target"`
+}
+
+// Status returns the node's state.
+func (o *Ownership) Status() Status {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := Status{
+		Node: o.cfg.Self.Name, LeaseValid: o.lease.Valid(now), Proved: o.lease.Proved(), Tables: make(map[string]int64),
+	}
+	for name, p := range o.peers {
+		if p.isLive(now) {
+			s.Nodes = append(s.Nodes, name)
+		}
+	}
+	slices.Sort(s.Nodes)
+	for name, t := range o.tables {
+		s.Tables[name] = int64(t.version)
+	}
+	if o.life != nil && !o.life.dead {
+		s.Target = o.life.report.ID
+	}
+	return s
+}
--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -11,7 +11,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/auburnrelay/auburnrelay/core/quarantine"
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -45,7 +45,7 @@
 // Sharer carries changes to the store and to the cell's nodes.
 type Sharer struct {
 	config    Config
-	store     platform.Store
+	store     objects.Store
 	publisher Publisher
 	tracker   Tracker
 	wake      chan struct{}
@@ -64,7 +64,7 @@
 }
 
 // New returns a sharer that still needs Attach.
-func New(config Config, store platform.Store) *Sharer {
+func New(config Config, store objects.Store) *Sharer {
 	return &Sharer{config: config, store: store, wake: make(chan struct{}, 1)}
 }
 
@@ -166,22 +166,22 @@
 	return nil, errors.Wrapf(last, "after %d tries", writeTries)
 }
 
-func (s *Sharer) read(ctx context.Context) ([]quarantine.Entry, platform.Object, error) {
+func (s *Sharer) read(ctx context.Context) ([]quarantine.Entry, objects.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	object, err := s.store.Get(ctx, keyPrefix+s.config.Cell)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, platform.Object{}, nil
+	if errors.Is(err, objects.ErrNotFound) {
+		return nil, objects.Object{}, nil
 	}
 	if err != nil {
-		return nil, platform.Object{}, errors.Wrap(err, "read quarantine")
+		return nil, objects.Object{}, errors.Wrap(err, "read quarantine")
 	}
 	var entries []quarantine.Entry
 	err = json.Unmarshal(object.Value, &entries)
 	return entries, object, errors.Wrap(err, "decode quarantine")
 }
 
-func (s *Sharer) put(ctx context.Context, entries []quarantine.Entry, expected platform.Version, id string) error {
+func (s *Sharer) put(ctx context.Context, entries []quarantine.Entry, expected objects.Version, id string) error {
 	value, err := json.Marshal(entries)
 	if err != nil {
 		return errors.Wrap(err, "encode quarantine")
--- a/node/sharing/sharing_test.go
+++ b/node/sharing/sharing_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/quarantine"
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // mark is the fingerprint of the request that crashes targets.
@@ -51,15 +51,15 @@
 
 // lossyStore loses the answers of the next writes after their effect.
 type lossyStore struct {
-	platform.Store
+	objects.Store
 	lose int
 }
 
-func (l *lossyStore) Put(ctx context.Context, key string, value []byte, expected platform.Version, id string) (platform.Version, error) {
+func (l *lossyStore) Put(ctx context.Context, key string, value []byte, expected objects.Version, id string) (objects.Version, error) {
 	version, err := l.Store.Put(ctx, key, value, expected, id)
 	if l.lose > 0 {
 		l.lose--
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	}
 	return version, err
 }
--- /dev/null
+++ b/node/sidecar/daemon.go
@@ -0,0 +1,206 @@
+// Package sidecar is the daemon beside a target on the users' platform: it wires the parts of a
+// node together and runs them.
+package sidecar
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/auburnrelay/auburnrelay/core/retry"
+	"github.com/auburnrelay/auburnrelay/node/bootclock"
+	"github.com/auburnrelay/auburnrelay/node/guard"
+	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/node/hop"
+	"github.com/auburnrelay/auburnrelay/node/ingress"
+	"github.com/auburnrelay/auburnrelay/node/logsink"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
+	"github.com/auburnrelay/auburnrelay/objects/client"
+	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/platform/objectstore"
+)
+
+const (
+	// leaseTime is how long a node keeps its keys after the last renewal: a lost node's keys are
+	// served again a little later, and an outage of the store of that length costs none.
+	leaseTime = 4 * time.Second
+	// renewTime leaves a renewal three tries within a lease.
+	renewTime = 1200 * time.Millisecond
+	// lookTime is how long a change of another node's target goes unnoticed at most.
+	lookTime = time.Second
+	// actTime bounds the delay of what no message announces, such as a lapse.
+	actTime = 200 * time.Millisecond
+	// rankTime is a few round trips to the store, so that the first node's write is seen before
+	// the next one acts.
+	rankTime = 400 * time.Millisecond
+	// gatherTime is a little more than two heartbeats: all targets of a service that starts as a
+	// whole have reported by then, and its keys are divided once.
+	gatherTime = 2500 * time.Millisecond
+	// silentBeats is the number of heartbeats that a target may miss.
+	silentBeats = 4
+	// drainMargin is kept from the time in which work may reach a leaving target, for what is
+	// already on its way.
+	drainMargin = 400 * time.Millisecond
+
+	// pollWait is how long a watch waits; a connection that went silent is noticed after it.
+	pollWait = 3 * time.Second
+	// pollMargin is the store's time to answer after the wait.
+	pollMargin = time.Second
+	// watchBackoff bounds the pause of a watch that fails, so that a configuration is in force
+	// within its bound after an outage.
+	watchBackoff = 400 * time.Millisecond
+	// storeCalls and storeBurst bound the calls of the watches.
+	storeCalls = 10
+	storeBurst = 20
+
+	// targetConns caps the connections to the target, which accepts about 110.
+	targetConns = 90
+	// peerConns caps the connections to one other node.
+	peerConns = 256
+	// dialTime bounds a connection to another node, at most one region away (8 ms one way).
+	dialTime = 400 * time.Millisecond
+	// silenceTime is how long sent bytes may stay unacknowledged.
+	silenceTime = 1500 * time.Millisecond
+	// targetIdle is under the time after which targets close idle connections (10 s).
+	targetIdle = 8 * time.Second
+	// peerIdle is under the idle timeout of the peers' server.
+	peerIdle = 40 * time.Second
+	// retryNodes is the number of nodes among which the budget of retries is divided.
+	retryNodes = 16
+	// retryPart is the part of the allowed ratio that nodes use: requests that a target's own
+	// calls repeat count as well.
+	retryPart = 0.5
+)
+
+// storeFace is the store as the ownership uses it: single calls without retries, since it
+// decides itself what a failed call means, and a watch that resumes.
+type storeFace struct {
+	*objectstore.Store
+	*watcher
+}
+
+type watcher struct{ *client.Client }
+
+// Daemon is one node with its parts.
+type Daemon struct {
+	settings  *Settings
+	log       *slog.Logger
+	sink      *logsink.Sink
+	registry  *prometheus.Registry
+	config    *configuration
+	ownership *ownership.Ownership
+	pools     []*h1.Pool
+	servers   servers
+	// settingsText is the settings file as last read.
+	settingsText []byte
+}
+
+// New checks nothing more than the settings did and opens the listeners.
+func New(s *Settings, out io.Writer) (*Daemon, error) {
+	sink := logsink.New(out)
+	level := slog.LevelInfo
+	if s.Log.Level != "" {
+		if err := level.UnmarshalText([]byte(s.Log.Level)); err != nil {
+			return nil, errors.Wrap(ErrSettings, "log.level")
+		}
+	}
+	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})).With("node", s.Node.Name)
+	d := &Daemon{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry()}
+	raw := objectstore.New(s.Store.URL, objectstore.Options{PollWait: pollWait, Separate: []string{"nodes", "tables"}})
+	watching := client.New(raw, client.Options{
+		CallsPerSecond: storeCalls, Burst: storeBurst, AttemptTimeout: time.Second, PollTimeout: pollWait + pollMargin,
+		MaxBackoff: watchBackoff, Registerer: d.registry,
+	})
+	d.config = newConfiguration(watching, log.With("part", "config"))
+	d.ownership = ownership.New(ownership.Config{
+		Self: ownership.Entry{
+			Name: s.Node.Name, Incarnation: ulid.Make().String(), Address: s.Listen.Peers,
+			Region: s.Node.Region, FailureDomain: s.Node.FailureDomain, LeaseMillis: leaseTime.Milliseconds(),
+		},
+		Timing:  d.timing(),
+		Clock:   bootclock.Now,
+		IsKeyed: d.config.isKeyed,
+		Log:     log.With("part", "ownership"),
+	}, storeFace{raw, &watcher{watching}})
+	return d, d.provision()
+}
+
+func (d *Daemon) timing() ownership.Timing {
+	b := d.settings.Bounds
+	return ownership.Timing{
+		Lease: leaseTime, Renew: renewTime, Look: lookTime, Act: actTime, Rank: rankTime, Gather: gatherTime,
+		HoldMax: b.HoldMaxSeconds.Duration(), Silence: silentBeats * d.settings.Target.HeartbeatSeconds.Duration(),
+		DrainGrace: max(0, b.DrainSeconds.Duration()-drainMargin),
+	}
+}
+
+// provision builds the way of requests and the servers.
+func (d *Daemon) provision() error {
+	codec := platform.Headers{}
+	targetPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: targetIdle, Silence: silenceTime, MaxConns: targetConns})
+	peerPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: peerIdle, Silence: silenceTime, MaxConns: peerConns})
+	d.pools = []*h1.Pool{targetPool, peerPool}
+	g := guard.New(d.ownership, targetPool, codec, d.log.With("part", "guard"))
+	policy := retry.DefaultPolicy()
+	policy.Ratio = d.settings.Bounds.RetryRatio * retryPart
+	policy.Burst = max(1, d.settings.Bounds.RetrySlack*retryPart/retryNodes)
+	dispatcher := ingress.NewDispatcher(ingress.Parts{
+		View: d.ownership.View, Local: g.Serve, Peers: hop.NewClient(peerPool), Retry: policy,
+		Region: d.settings.Node.Region, Log: d.log.With("part", "dispatch"),
+	})
+	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service, d.log.With("part", "ingress"))
+	peers := hop.NewServer(d.settings.Node.Name, codec, g.Serve, d.log.With("part", "hop"))
+	return d.servers.open(d, callers, peers)
+}
+
+// Run serves until the context ends, a part fails or a signal asks for a stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.sink.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	d.servers.add(&group)
+	group.Add(func() error { return d.ownership.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return d.config.run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return d.untilStopped(ctx) }, func(error) { cancel() })
+	d.log.Info("node started", "service", d.settings.Node.Service, "callers", d.settings.Listen.Callers, "peers", d.settings.Listen.Peers)
+	err := group.Run()
+	for _, p := range d.pools {
+		p.Close()
+	}
+	d.log.Info("node stopped", "reason", err.Error(), "log_lines_dropped", d.sink.Dropped())
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// listen opens a listener and names the field of a fault.
+func listen(field, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Wrapf(err, "listen.%s", field)
+}
+
+// newServer returns a server whose idle connections outlast those of its clients.
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+}
+
+const (
+	// headerTime and headerBytes are above what the configurations allow callers (3 s, 16 KiB).
+	headerTime  = 10 * time.Second
+	headerBytes = 64 << 10
+	// idleTime is above four fifths of the idle time that configurations allow callers.
+	idleTime = 60 * time.Second
+)
--- /dev/null
+++ b/node/sidecar/servers.go
@@ -0,0 +1,114 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+// servers are the node's listeners with what serves them.
+type servers struct {
+	parts []*part
+	// stopping makes the node say that it is not ready.
+	stopping chan struct{}
+}
+
+type part struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (s *servers) open(d *Daemon, callers, peers http.Handler) error {
+	s.stopping = make(chan struct{})
+	at := d.settings.Listen
+	wanted := []struct {
+		field, address string
+		handler        http.Handler
+	}{
+		{"callers", at.Callers, callers},
+		{"peers", at.Peers, peers},
+		{"target", at.Target, platform.ControlHandler(d.ownership)},
+		{"ready", at.Ready, s.readyHandler(d)},
+		{"admin", at.Admin, adminHandler(d)},
+	}
+	for _, w := range wanted {
+		l, err := listen(w.field, w.address)
+		if err != nil {
+			s.close()
+			return err
+		}
+		s.parts = append(s.parts, &part{listener: l, server: newServer(w.handler)})
+	}
+	return nil
+}
+
+func (s *servers) close() {
+	for _, p := range s.parts {
+		_ = p.listener.Close()
+	}
+}
+
+func (s *servers) add(group *run.Group) {
+	for _, p := range s.parts {
+		group.Add(func() error {
+			err := p.server.Serve(p.listener)
+			if errors.Is(err, http.ErrServerClosed) {
+				return errStopped
+			}
+			return err
+		}, func(error) { _ = p.server.Close() })
+	}
+}
+
+func (s *servers) readyHandler(d *Daemon) http.Handler {
+	e := echo.New()
+	e.GET(platform.ReadyPath, func(c echo.Context) error {
+		select {
+		case <-s.stopping:
+			return c.String(http.StatusServiceUnavailable, "stopping\n")
+		default:
+		}
+		if d.config.current() == nil {
+			return c.String(http.StatusServiceUnavailable, "no configuration\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	return e
+}
+
+func adminHandler(d *Daemon) http.Handler {
+	e := echo.New()
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
+	e.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, d.ownership.Status()) })
+	return e
+}
+
+// shutdown ends the servers for callers and peers when nothing is in flight, and then the rest.
+func (s *servers) shutdown(ctx context.Context) {
+	for _, p := range s.parts {
+		// What is left when the time is over is broken off by the end of the process.
+		_ = p.server.Shutdown(ctx)
+	}
+}
+
+// leave asks callers to close their connections: each further answer says so.
+func (s *servers) leave() {
+	close(s.stopping)
+	s.parts[0].server.SetKeepAlivesEnabled(false)
+}
+
+const (
+	// leaveTime is how long callers may take to notice that the node is not ready: two questions
+	// a second apart.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is kept from the time before the process is killed.
+	stopMargin = 300 * time.Millisecond
+)
--- /dev/null
+++ b/node/sidecar/settings.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// ErrSettings reports settings that a node cannot run with.
+var ErrSettings = errors.New("invalid settings")
+
+// Settings is what a node beside a target learns from its settings file. Fields that are not
+// known are ignored.
+type Settings struct {
+	Node struct {
+		// Name is the name of the VM.
+		Name          string `toml:"name" validate:"required"`
+		Region        string `toml:"region" validate:"required"`
+		FailureDomain string `toml:"failure_domain" validate:"required"`
+		// Service is the service of the target on this VM.
+		Service string `toml:"service" validate:"required"`
+		// MemoryMB is the memory that the process may use, in megabytes.
+		MemoryMB int64 `toml:"memory_mb" validate:"gt=0"`
+	} `toml:"node"`
+	Listen struct {
+		// Callers takes requests of callers and of the target on this VM.
+		Callers string `toml:"callers" validate:"required,hostname_port"`
+		// Peers takes requests of other nodes.
+		Peers string `toml:"peers" validate:"required,hostname_port"`
+		// Target takes heartbeats of the target on this VM.
+		Target string `toml:"target" validate:"required,hostname_port"`
+		// Ready is asked for readiness.
+		Ready string `toml:"ready" validate:"required,hostname_port"`
+		// Admin serves metrics and the node's state.
+		Admin string `toml:"admin" validate:"required,hostname_port"`
+	} `toml:"listen"`
+	Store struct {
+		URL string `toml:"url" validate:"required,http_url"`
+	} `toml:"store"`
+	Target struct {
+		// HeartbeatSeconds is about the time between two heartbeats.
+		HeartbeatSeconds Seconds `toml:"heartbeat_seconds" validate:"gt=0"`
+	} `toml:"target"`
+	Log struct {
+		// Level is the lowest level written.
+		Level string `toml:"level" validate:"omitempty,oneof=debug info warn error"`
+	} `toml:"log"`
+	// Bounds are the figures of the platform's rules that shape a node's behaviour.
+	Bounds struct {
+		// DrainSeconds is how long after a leaving target was acknowledged work may reach it.
+		DrainSeconds Seconds `toml:"drain_seconds" validate:"gte=0"`
+		// StopSeconds is the time between SIGTERM and SIGKILL.
+		StopSeconds Seconds `toml:"stop_seconds" validate:"gt=0"`
+		// HoldMaxSeconds is the longest grant of keys that a target accepts.
+		HoldMaxSeconds Seconds `toml:"hold_max_seconds" validate:"gt=0"`
+		// RetryRatio and RetrySlack bound the sends beyond the first of a service's requests
+		// within the window, over all nodes: the ratio times the requests, plus the slack.
+		RetryRatio         float64 `toml:"retry_ratio" validate:"gte=0,lte=1"`
+		RetrySlack         float64 `toml:"retry_slack" validate:"gte=0"`
+		RetryWindowSeconds Seconds `toml:"retry_window_seconds" validate:"gt=0"`
+	} `toml:"bounds"`
+}
+
+// LoadSettings reads and checks a settings file; it names every fault.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	s, err := ParseSettings(data)
+	return s, errors.Wrapf(err, "settings %s", path)
+}
+
+// ParseSettings does what LoadSettings does with the content of a file.
+func ParseSettings(data []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(data, s); err != nil {
+		var at *toml.DecodeError
+		if errors.As(err, &at) {
+			row, _ := at.Position()
+			return nil, errors.Wrapf(ErrSettings, "line %d: %v", row, err)
+		}
+		return nil, errors.Wrapf(ErrSettings, "%v", err)
+	}
+	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(s); err != nil {
+		return nil, faults(err)
+	}
+	return s, nil
+}
+
+func faults(err error) error {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return errors.Wrapf(ErrSettings, "%v", err)
+	}
+	var lines []string
+	for _, f := range fields {
+		lines = append(lines, fmt.Sprintf("%s: %q breaks %s", f.Namespace(), f.Value(), strings.TrimSpace(f.Tag()+" "+f.Param())))
+	}
+	return errors.Wrap(ErrSettings, strings.Join(lines, "; "))
+}
+
+// Seconds is a time in seconds, with fractions.
+type Seconds float64
+
+// Duration returns the time as a duration.
+func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
--- /dev/null
+++ b/node/sidecar/stop.go
@@ -0,0 +1,88 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/platform"
+)
+
+// errStopped ends the group after a planned stop.
+var errStopped = errors.New("stopped as asked")
+
+// untilStopped waits for a signal. At the first SIGTERM or SIGINT the node says that it is not
+// ready, and ends when callers have left and nothing is in flight.
+func (d *Daemon) untilStopped(ctx context.Context) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	look := time.NewTicker(settingsTime)
+	defer look.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				d.reload("signal")
+				continue
+			}
+			return d.stop(ctx, s)
+		case <-look.C:
+			d.reload("file")
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// settingsTime is the time between two looks at the settings file.
+const settingsTime = 5 * time.Second
+
+func (d *Daemon) stop(ctx context.Context, s os.Signal) error {
+	began := time.Now()
+	d.log.Info("stop begins", "signal", s.String())
+	d.servers.leave()
+	d.ownership.Stop()
+	ctx, cancel := context.WithTimeout(ctx, max(leaveTime, d.settings.Bounds.StopSeconds.Duration()-stopMargin))
+	defer cancel()
+	timer := time.NewTimer(leaveTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	d.servers.shutdown(ctx)
+	d.log.Info("stop ends", "took_ms", time.Since(began).Milliseconds())
+	return errStopped
+}
+
+// reload reads the settings file again. All that a node learns from it is bound to its process;
+// a change takes effect at the next start.
+func (d *Daemon) reload(cause string) {
+	path := os.Getenv(platform.SettingsVariable)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		d.log.Warn("settings not read", "cause", err.Error())
+		return
+	}
+	if d.settingsText == nil {
+		d.settingsText = data
+	}
+	if bytes.Equal(data, d.settingsText) {
+		if cause == "signal" {
+			d.log.Info("settings read again", "changed", false)
+		}
+		return
+	}
+	d.settingsText = data
+	if _, err := ParseSettings(data); err != nil {
+		d.log.Error("changed settings are faulty", "cause", err.Error())
+		return
+	}
+	d.log.Warn("settings changed; they take effect at the next start", "trigger", cause)
+}
--- a/platform/client/client.go
+++ b/objects/client/client.go
@@ -1,4 +1,4 @@
-// Package client makes calls of a platform.Store safe to use in a daemon: a call budget per
+// Package client makes calls of a objects.Store safe to use in a daemon: a call budget per
 // process, retries with jitter within the deadline, lost answers of writes resolved by
 // reading back the write id, watches that resume, and counters.
 //
@@ -15,7 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -56,9 +56,9 @@
 	Registerer prometheus.Registerer
 }
 
-// Client is a platform.Store over another one. It is safe for concurrent use.
+// Client is a objects.Store over another one. It is safe for concurrent use.
 type Client struct {
-	store   platform.Store
+	store   objects.Store
 	options Options
 	budget  *rate.Limiter
 	// reserve is the number of calls of the burst that this client leaves to others.
@@ -66,10 +66,10 @@
 	metrics *metrics
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ objects.Store = (*Client)(nil)
 
 // New returns a client of store.
-func New(store platform.Store, o Options) *Client {
+func New(store objects.Store, o Options) *Client {
 	o = withDefaults(o)
 	return &Client{
 		store:   store,
@@ -107,25 +107,25 @@
 // NewWriteID returns an id for a write that no other write has.
 func NewWriteID() string { return ulid.Make().String() }
 
-// Get implements platform.Store. It retries while the store is unavailable.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
-	return read(ctx, c, callGet, func(ctx context.Context) (platform.Object, error) {
+// Get implements objects.Store. It retries while the store is unavailable.
+func (c *Client) Get(ctx context.Context, key string) (objects.Object, error) {
+	return read(ctx, c, callGet, func(ctx context.Context) (objects.Object, error) {
 		return c.store.Get(ctx, key)
 	})
 }
 
-// List implements platform.Store. It retries while the store is unavailable.
-func (c *Client) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	return read(ctx, c, callList, func(ctx context.Context) (platform.Listing, error) {
+// List implements objects.Store. It retries while the store is unavailable.
+func (c *Client) List(ctx context.Context, prefix string) (objects.Listing, error) {
+	return read(ctx, c, callList, func(ctx context.Context) (objects.Listing, error) {
 		return c.store.List(ctx, prefix)
 	})
 }
 
-// Poll implements platform.Store by one attempt; Watch retries.
-func (c *Client) Poll(ctx context.Context, prefix string, after platform.Version) (platform.Batch, error) {
+// Poll implements objects.Store by one attempt; Watch retries.
+func (c *Client) Poll(ctx context.Context, prefix string, after objects.Version) (objects.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.PollTimeout)
 	defer cancel()
-	return call(ctx, c, callPoll, func(ctx context.Context) (platform.Batch, error) {
+	return call(ctx, c, callPoll, func(ctx context.Context) (objects.Batch, error) {
 		return c.store.Poll(ctx, prefix, after)
 	})
 }
@@ -139,7 +139,7 @@
 	attempts := c.newAttempts()
 	for {
 		value, err := attemptCall(ctx, c, kind, attempts, do)
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, objects.ErrUnavailable) {
 			return value, err
 		}
 		if attempts.pause(ctx) != nil {
@@ -191,7 +191,7 @@
 		return nil
 	}
 	if err := c.budget.Wait(ctx); err != nil {
-		return errors.Wrapf(platform.ErrBudget, "%v", err)
+		return errors.Wrapf(objects.ErrBudget, "%v", err)
 	}
 	return nil
 }
@@ -205,7 +205,7 @@
 		}
 		wait := max(minDrawWait, time.Duration(missing/c.options.CallsPerSecond*float64(time.Second)))
 		if sleep(ctx, wait) != nil {
-			return errors.Wrap(platform.ErrBudget, "the rest of the budget is reserved")
+			return errors.Wrap(objects.ErrBudget, "the rest of the budget is reserved")
 		}
 	}
 }
--- a/platform/client/client_test.go
+++ b/objects/client/client_test.go
@@ -10,9 +10,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/client"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/client"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const (
@@ -27,14 +27,14 @@
 }
 
 func (h *hooked) Put(
-	ctx context.Context, key string, value []byte, expected platform.Version, writeID string,
-) (platform.Version, error) {
+	ctx context.Context, key string, value []byte, expected objects.Version, writeID string,
+) (objects.Version, error) {
 	version, err := h.Store.Put(ctx, key, value, expected, writeID)
 	h.runOnce()
 	return version, err
 }
 
-func (h *hooked) Delete(ctx context.Context, key string, expected platform.Version) error {
+func (h *hooked) Delete(ctx context.Context, key string, expected objects.Version) error {
 	err := h.Store.Delete(ctx, key, expected)
 	h.runOnce()
 	return err
@@ -48,7 +48,7 @@
 }
 
 // write writes the object "a".
-func write(t *testing.T, s platform.Store, value string, expected platform.Version) platform.Version {
+func write(t *testing.T, s objects.Store, value string, expected objects.Version) objects.Version {
 	t.Helper()
 	version, err := s.Put(context.Background(), "a", []byte(value), expected, value)
 	if err != nil {
@@ -74,26 +74,26 @@
 		{
 			name: "another writer follows",
 			then: func(t *testing.T, s *memstore.Store) { write(t, s, "other", 2) },
-			want: []error{platform.ErrUnknownOutcome, client.ErrSuperseded},
-			not:  []error{platform.ErrConflict, platform.ErrUnavailable},
+			want: []error{objects.ErrUnknownOutcome, client.ErrSuperseded},
+			not:  []error{objects.ErrConflict, objects.ErrUnavailable},
 		},
 		{
 			name: "another writer removes it",
 			then: func(_ *testing.T, s *memstore.Store) { _ = s.Delete(context.Background(), "a", 2) },
-			want: []error{platform.ErrUnknownOutcome, client.ErrSuperseded},
-			not:  []error{platform.ErrConflict, platform.ErrUnavailable},
+			want: []error{objects.ErrUnknownOutcome, client.ErrSuperseded},
+			not:  []error{objects.ErrConflict, objects.ErrUnavailable},
 		},
 		{
 			name: "the store goes down",
 			then: func(_ *testing.T, s *memstore.Store) { s.SetFaults(memstore.Faults{Down: true}) },
-			want: []error{platform.ErrUnknownOutcome},
-			not:  []error{client.ErrSuperseded, platform.ErrUnavailable},
+			want: []error{objects.ErrUnknownOutcome},
+			not:  []error{client.ErrSuperseded, objects.ErrUnavailable},
 		},
 		{
 			name:   "another writer creates what was deleted",
 			then:   func(t *testing.T, s *memstore.Store) { write(t, s, "other", 0) },
 			remove: true,
-			want:   []error{platform.ErrUnknownOutcome, client.ErrSuperseded},
+			want:   []error{objects.ErrUnknownOutcome, client.ErrSuperseded},
 		},
 	}
 	for _, row := range rows {
@@ -128,7 +128,7 @@
 	}
 }
 
-func newClient(store platform.Store, o client.Options) *client.Client {
+func newClient(store objects.Store, o client.Options) *client.Client {
 	if o.CallsPerSecond == 0 {
 		o.CallsPerSecond = generous
 	}
@@ -140,7 +140,7 @@
 	write(t, memory, "other", 0)
 	registry := prometheus.NewRegistry()
 	c := newClient(memory, client.Options{Registerer: registry})
-	if _, err := c.Put(context.Background(), "a", nil, 0, "own"); !errors.Is(err, platform.ErrConflict) {
+	if _, err := c.Put(context.Background(), "a", nil, 0, "own"); !errors.Is(err, objects.ErrConflict) {
 		t.Errorf("got error %v", err)
 	}
 	wantCalls(t, registry, `auburnrelay_store_calls_total{call="put",outcome="conflict"} 1`)
@@ -168,7 +168,7 @@
 	if _, err := c.Poll(ctx, "x", 1); err != nil {
 		t.Errorf("poll: %v", err)
 	}
-	if _, err := c.Put(ctx, "c", nil, 0, "w"); !errors.Is(err, platform.ErrBudget) {
+	if _, err := c.Put(ctx, "c", nil, 0, "w"); !errors.Is(err, objects.ErrBudget) {
 		t.Errorf("write above the budget: got error %v", err)
 	}
 	wantCalls(t, registry,
@@ -187,7 +187,7 @@
 	background := c.Background()
 	calls := func(c *client.Client) int {
 		for n := 0; ; n++ {
-			if _, err := c.Get(context.Background(), "a"); errors.Is(err, platform.ErrBudget) {
+			if _, err := c.Get(context.Background(), "a"); errors.Is(err, objects.ErrBudget) {
 				return n
 			} else if err != nil {
 				t.Fatal(err)
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	memory.SetFaults(memstore.Faults{WatchBroken: true})
-	if err := c.Watch(ctx, "a", func(platform.Batch) {}); !errors.Is(err, context.DeadlineExceeded) {
+	if err := c.Watch(ctx, "a", func(objects.Batch) {}); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("watch ends with %v", err)
 	}
 	// A pause is at least half of its mean, a quarter of the time.
--- a/platform/client/metrics.go
+++ b/objects/client/metrics.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // callKind names a kind of call in counters.
@@ -25,12 +25,12 @@
 	err   error
 	label string
 }{
-	{platform.ErrBudget, "budget"},
-	{platform.ErrUnknownOutcome, "unknown"},
-	{platform.ErrUnavailable, "unavailable"},
-	{platform.ErrNotFound, "not_found"},
-	{platform.ErrConflict, "conflict"},
-	{platform.ErrTooLarge, "too_large"},
+	{objects.ErrBudget, "budget"},
+	{objects.ErrUnknownOutcome, "unknown"},
+	{objects.ErrUnavailable, "unavailable"},
+	{objects.ErrNotFound, "not_found"},
+	{objects.ErrConflict, "conflict"},
+	{objects.ErrTooLarge, "too_large"},
 }
 
 type metrics struct {
--- a/platform/client/watch.go
+++ b/objects/client/watch.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // Watch delivers the objects below prefix and then their changes until the context ends,
 // and returns the context's error. The first batch, and any after a gap, has Reset set and
 // holds the whole state. Versions delivered only grow: a poll that breaks is repeated from
 // the last version seen, and answers of a store that lags behind it are dropped.
-func (c *Client) Watch(ctx context.Context, prefix string, deliver func(platform.Batch)) error {
+func (c *Client) Watch(ctx context.Context, prefix string, deliver func(objects.Batch)) error {
 	after, err := c.watchStart(ctx, prefix, deliver)
 	attempts := c.newAttempts()
 	for err == nil {
@@ -31,8 +31,8 @@
 
 // watchStart lists the objects, for as long as that takes, and delivers them.
 func (c *Client) watchStart(
-	ctx context.Context, prefix string, deliver func(platform.Batch),
-) (platform.Version, error) {
+	ctx context.Context, prefix string, deliver func(objects.Batch),
+) (objects.Version, error) {
 	attempts := c.newAttempts()
 	for {
 		listing, err := c.List(ctx, prefix)
@@ -46,24 +46,24 @@
 	}
 }
 
-func batchOf(listing platform.Listing) platform.Batch {
-	batch := platform.Batch{Next: listing.Version, Reset: true}
+func batchOf(listing objects.Listing) objects.Batch {
+	batch := objects.Batch{Next: listing.Version, Reset: true}
 	for _, object := range listing.Objects {
-		batch.Events = append(batch.Events, platform.Event{Object: object})
+		batch.Events = append(batch.Events, objects.Event{Object: object})
 	}
 	return batch
 }
 
 // newer returns the part of a batch that is after the version, and false for a batch that
 // ends before it.
-func newer(batch platform.Batch, after platform.Version) (platform.Batch, bool) {
+func newer(batch objects.Batch, after objects.Version) (objects.Batch, bool) {
 	if batch.Next < after {
-		return platform.Batch{}, false
+		return objects.Batch{}, false
 	}
 	if batch.Reset {
 		return batch, true
 	}
-	fresh := platform.Batch{Next: batch.Next}
+	fresh := objects.Batch{Next: batch.Next}
 	for _, event := range batch.Events {
 		if event.Object.Version > after {
 			fresh.Events = append(fresh.Events, event)
--- a/platform/client/write.go
+++ b/objects/client/write.go
@@ -5,36 +5,36 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
-// Put implements platform.Store. The write id must be unique to this change of the object:
+// Put implements objects.Store. The write id must be unique to this change of the object:
 // a lost answer is resolved by finding the id in the object. Repeating the write is safe,
 // since at most one of the attempts can meet the expected version.
 //
 // ErrUnavailable means that nothing was written. ErrUnknownOutcome means that the deadline
 // passed in doubt, or, with ErrSuperseded, that another write came after this one's turn.
 func (c *Client) Put(
-	ctx context.Context, key string, value []byte, expected platform.Version, writeID string,
-) (platform.Version, error) {
+	ctx context.Context, key string, value []byte, expected objects.Version, writeID string,
+) (objects.Version, error) {
 	w := write{client: c, key: key, expected: expected, kind: callPut}
-	w.do = func(ctx context.Context) (platform.Version, error) {
+	w.do = func(ctx context.Context) (objects.Version, error) {
 		return c.store.Put(ctx, key, value, expected, writeID)
 	}
-	w.isOwn = func(object platform.Object) bool {
+	w.isOwn = func(object objects.Object) bool {
 		return object.Version != 0 && writeID != "" && object.WriteID == writeID
 	}
 	return w.run(ctx)
 }
 
-// Delete implements platform.Store. After a lost answer an object that is gone counts as
+// Delete implements objects.Store. After a lost answer an object that is gone counts as
 // deleted, whoever deleted it.
-func (c *Client) Delete(ctx context.Context, key string, expected platform.Version) error {
+func (c *Client) Delete(ctx context.Context, key string, expected objects.Version) error {
 	w := write{client: c, key: key, expected: expected, kind: callDelete}
-	w.do = func(ctx context.Context) (platform.Version, error) {
+	w.do = func(ctx context.Context) (objects.Version, error) {
 		return 0, c.store.Delete(ctx, key, expected)
 	}
-	w.isOwn = func(object platform.Object) bool { return object.Version == 0 }
+	w.isOwn = func(object objects.Object) bool { return object.Version == 0 }
 	_, err := w.run(ctx)
 	return err
 }
@@ -43,22 +43,22 @@
 type write struct {
 	client   *Client
 	key      string
-	expected platform.Version
+	expected objects.Version
 	kind     callKind
-	do       func(context.Context) (platform.Version, error)
+	do       func(context.Context) (objects.Version, error)
 	// isOwn tells from the object, of version zero if there is none, that the write took effect.
-	isOwn func(platform.Object) bool
+	isOwn func(objects.Object) bool
 	// inDoubt is set once an attempt may have taken effect or may still do so.
 	inDoubt bool
 }
 
-func (w *write) run(ctx context.Context) (platform.Version, error) {
+func (w *write) run(ctx context.Context) (objects.Version, error) {
 	ctx, cancel := w.client.bound(ctx)
 	defer cancel()
 	attempts := w.client.newAttempts()
 	for {
 		version, err := attemptCall(ctx, w.client, w.kind, attempts, w.do)
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, objects.ErrUnknownOutcome) {
 			w.inDoubt = true
 		}
 		if w.inDoubt && err != nil {
@@ -77,15 +77,15 @@
 var errUnresolved = errors.New("object unchanged")
 
 func isRetried(err error) bool {
-	return errors.IsAny(err, errUnresolved, platform.ErrUnavailable)
+	return errors.IsAny(err, errUnresolved, objects.ErrUnavailable)
 }
 
 // resolve reads the object back after a write in doubt and returns what is known of it.
-func (w *write) resolve(ctx context.Context, a *attempts, cause error) (platform.Version, error) {
-	object, err := attemptCall(ctx, w.client, callGet, a, func(ctx context.Context) (platform.Object, error) {
+func (w *write) resolve(ctx context.Context, a *attempts, cause error) (objects.Version, error) {
+	object, err := attemptCall(ctx, w.client, callGet, a, func(ctx context.Context) (objects.Object, error) {
 		return w.client.store.Get(ctx, w.key)
 	})
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return 0, w.unread(err)
 	}
 	switch {
@@ -96,23 +96,23 @@
 		return 0, errors.Wrapf(errUnresolved, "key %q: %v", w.key, cause)
 	default:
 		superseded := errors.Wrapf(ErrSuperseded, "key %q: version %d: %v", w.key, object.Version, cause)
-		return 0, errors.Mark(superseded, platform.ErrUnknownOutcome)
+		return 0, errors.Mark(superseded, objects.ErrUnknownOutcome)
 	}
 }
 
 // isUnchanged reports whether the object is at the expected version, or at an older one as a
 // lagging store shows it.
-func (w *write) isUnchanged(object platform.Object) bool {
+func (w *write) isUnchanged(object objects.Object) bool {
 	return object.Version == w.expected || 0 < object.Version && object.Version < w.expected
 }
 
 // unread is the result of a failed read-back: worth another try only while the store is
 // out of reach; in every case the outcome of the write is unknown.
 func (w *write) unread(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, objects.ErrUnavailable) {
 		return err
 	}
-	return errors.Mark(errors.Wrap(err, "read back"), platform.ErrUnknownOutcome)
+	return errors.Mark(errors.Wrap(err, "read back"), objects.ErrUnknownOutcome)
 }
 
 // failure is the result when the time is over: never ErrUnavailable once in doubt.
@@ -120,5 +120,5 @@
 	if !w.inDoubt {
 		return err
 	}
-	return errors.Wrapf(platform.ErrUnknownOutcome, "key %q: time over in doubt: %v", w.key, err)
+	return errors.Wrapf(objects.ErrUnknownOutcome, "key %q: time over in doubt: %v", w.key, err)
 }
--- a/platform/contract/client.go
+++ b/objects/contract/client.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/client"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/client"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const (
@@ -56,13 +56,13 @@
 		{name: "down for a while", faults: memstore.Faults{Down: true}, heal: short, time: deadline, effect: true},
 		{
 			name: "down", faults: memstore.Faults{Down: true}, time: 2 * short, pause: 8 * short,
-			want: platform.ErrUnavailable,
+			want: objects.ErrUnavailable,
 		},
 		{name: "slower than the first attempt", faults: memstore.Faults{Delay: 2 * short}, time: deadline, effect: true},
 		{name: "held back for longer than attempts", faults: memstore.Faults{DelayWrites: 4 * short}, time: deadline, effect: true},
 		{
 			name: "held back for longer than the call", faults: memstore.Faults{DelayWrites: 8 * short}, time: 2 * short,
-			want: platform.ErrUnknownOutcome, effect: true,
+			want: objects.ErrUnknownOutcome, effect: true,
 		},
 	}
 	for _, row := range rows {
@@ -114,7 +114,7 @@
 func watchThrough(s *session, faults memstore.Faults) {
 	const writes = 10
 	r := s.record()
-	var last platform.Version
+	var last objects.Version
 	write := func() {
 		for i := range writes {
 			last = s.put("a", strconv.Itoa(i), last, nil)
@@ -151,7 +151,7 @@
 type recorder struct {
 	s        *session
 	mu       sync.Mutex
-	versions []platform.Version
+	versions []objects.Version
 }
 
 // record starts a watch that ends with the test.
@@ -170,7 +170,7 @@
 	return r
 }
 
-func (r *recorder) deliver(batch platform.Batch) {
+func (r *recorder) deliver(batch objects.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, event := range batch.Events {
@@ -178,7 +178,7 @@
 	}
 }
 
-func (r *recorder) waitFor(version platform.Version) {
+func (r *recorder) waitFor(version objects.Version) {
 	r.s.Helper()
 	r.s.eventually("the watch delivers the last version", func() bool {
 		r.mu.Lock()
--- a/platform/contract/contract.go
+++ b/objects/contract/contract.go
@@ -1,4 +1,4 @@
-// Package contract holds the contract test of platform.Store. Each implementation calls Run
+// Package contract holds the contract test of objects.Store. Each implementation calls Run
 // from a test of its own; the faults are rows of tables.
 package contract
 
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 // Harness is a fresh, empty store and the switch of its faults.
 type Harness struct {
-	Store     platform.Store
+	Store     objects.Store
 	SetFaults func(memstore.Faults)
 }
 
@@ -63,25 +63,25 @@
 }
 
 // put writes the value, which is also the write id, and wants the error.
-func (s *session) put(key, value string, expected platform.Version, want error) platform.Version {
+func (s *session) put(key, value string, expected objects.Version, want error) objects.Version {
 	s.Helper()
 	version, err := s.Store.Put(s.context(deadline), key, []byte(value), expected, value)
 	s.wantError("put "+key, err, want)
 	return version
 }
 
-func (s *session) remove(key string, expected platform.Version, want error) {
+func (s *session) remove(key string, expected objects.Version, want error) {
 	s.Helper()
 	s.wantError("delete "+key, s.Store.Delete(s.context(deadline), key, expected), want)
 }
 
 // wantObject checks value, write id and version of the object; an empty value means that
 // there is none.
-func (s *session) wantObject(key, value string, version platform.Version) {
+func (s *session) wantObject(key, value string, version objects.Version) {
 	s.Helper()
 	object, err := s.Store.Get(s.context(deadline), key)
 	if value == "" {
-		s.wantError("get "+key, err, platform.ErrNotFound)
+		s.wantError("get "+key, err, objects.ErrNotFound)
 		return
 	}
 	s.wantError("get "+key, err, nil)
@@ -90,7 +90,7 @@
 	}
 }
 
-func (s *session) poll(prefix string, after platform.Version) platform.Batch {
+func (s *session) poll(prefix string, after objects.Version) objects.Batch {
 	s.Helper()
 	batch, err := s.Store.Poll(s.context(deadline), prefix, after)
 	s.wantError("poll "+prefix, err, nil)
--- a/platform/contract/faults.go
+++ b/objects/contract/faults.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // runFaults checks what single calls return under a fault, and what they left behind once
@@ -29,29 +29,29 @@
 		{name: "none", time: deadline, effect: true},
 		{
 			name: "down", faults: memstore.Faults{Down: true}, time: deadline,
-			write: []error{platform.ErrUnavailable}, get: platform.ErrUnavailable, poll: platform.ErrUnavailable,
+			write: []error{objects.ErrUnavailable}, get: objects.ErrUnavailable, poll: objects.ErrUnavailable,
 		},
 		{name: "slow, within the deadline", faults: memstore.Faults{Delay: short}, time: deadline, effect: true},
 		{
 			name: "slow, beyond the deadline", faults: memstore.Faults{Delay: held}, time: short,
-			write: []error{platform.ErrUnavailable, platform.ErrUnknownOutcome},
+			write: []error{objects.ErrUnavailable, objects.ErrUnknownOutcome},
 		},
 		{
 			name: "answer lost", faults: memstore.Faults{LoseNext: 1}, time: deadline,
-			write: []error{platform.ErrUnknownOutcome}, effect: true,
+			write: []error{objects.ErrUnknownOutcome}, effect: true,
 		},
 		{
 			name: "every answer lost", faults: memstore.Faults{LoseShare: 1}, time: deadline,
-			write: []error{platform.ErrUnknownOutcome}, effect: true,
+			write: []error{objects.ErrUnknownOutcome}, effect: true,
 		},
 		{name: "write held, within the deadline", faults: memstore.Faults{DelayWrites: short}, time: deadline, effect: true},
 		{
 			name: "write held, beyond the deadline", faults: memstore.Faults{DelayWrites: held}, time: short,
-			write: []error{platform.ErrUnknownOutcome}, effect: true,
+			write: []error{objects.ErrUnknownOutcome}, effect: true,
 		},
 		{
 			name: "watch broken", faults: memstore.Faults{WatchBroken: true}, time: deadline,
-			poll: platform.ErrUnavailable, effect: true,
+			poll: objects.ErrUnavailable, effect: true,
 		},
 	}
 	for _, row := range rows {
@@ -91,7 +91,7 @@
 	v := s.put("a", "1", 0, nil)
 	time.AfterFunc(PollWait/4, func() { s.SetFaults(memstore.Faults{WatchBroken: true}) })
 	_, err := s.Store.Poll(s.context(deadline), "a", v)
-	s.wantError("poll", err, platform.ErrUnavailable)
+	s.wantError("poll", err, objects.ErrUnavailable)
 }
 
 func watchIsStale(s *session) {
--- a/platform/contract/objects.go
+++ b/objects/contract/objects.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 func runObjects(t *testing.T, open Open) {
@@ -17,7 +17,7 @@
 	}{
 		{"create, then create again", func(s *session) {
 			v := s.put("a", "1", 0, nil)
-			s.put("a", "2", 0, platform.ErrConflict)
+			s.put("a", "2", 0, objects.ErrConflict)
 			s.wantObject("a", "1", v)
 		}},
 		{"update at the version", func(s *session) {
@@ -31,11 +31,11 @@
 		{"update at an older version", func(s *session) {
 			v := s.put("a", "1", 0, nil)
 			w := s.put("a", "2", v, nil)
-			s.put("a", "3", v, platform.ErrConflict)
+			s.put("a", "3", v, objects.ErrConflict)
 			s.wantObject("a", "2", w)
 		}},
 		{"update of nothing", func(s *session) {
-			s.put("a", "1", 7, platform.ErrConflict)
+			s.put("a", "1", 7, objects.ErrConflict)
 			s.wantObject("a", "", 0)
 		}},
 		{"versions are of one counter", func(s *session) {
@@ -47,22 +47,22 @@
 		}},
 		{"delete", func(s *session) {
 			v := s.put("a", "1", 0, nil)
-			s.remove("a", v+1, platform.ErrConflict)
+			s.remove("a", v+1, objects.ErrConflict)
 			s.wantObject("a", "1", v)
 			s.remove("a", v, nil)
 			s.wantObject("a", "", 0)
-			s.remove("a", v, platform.ErrNotFound)
+			s.remove("a", v, objects.ErrNotFound)
 		}},
 		{"versions grow over a deletion", func(s *session) {
 			v := s.put("a", "1", 0, nil)
 			s.remove("a", v, nil)
-			s.put("a", "2", v, platform.ErrConflict)
+			s.put("a", "2", v, objects.ErrConflict)
 			if w := s.put("a", "2", 0, nil); w <= v {
 				s.Errorf("version %d after %d", w, v)
 			}
 		}},
 		{"largest value", func(s *session) {
-			value := strings.Repeat("x", platform.MaxValueBytes)
+			value := strings.Repeat("x", objects.MaxValueBytes)
 			_, err := s.Store.Put(s.context(deadline), "a", []byte(value), 0, "w")
 			s.wantError("put", err, nil)
 			object, err := s.Store.Get(s.context(deadline), "a")
@@ -72,7 +72,7 @@
 			}
 		}},
 		{"too large a value", func(s *session) {
-			s.put("a", strings.Repeat("x", platform.MaxValueBytes+1), 0, platform.ErrTooLarge)
+			s.put("a", strings.Repeat("x", objects.MaxValueBytes+1), 0, objects.ErrTooLarge)
 			s.wantObject("a", "", 0)
 		}},
 		{"empty value", func(s *session) {
@@ -119,9 +119,9 @@
 func runRace(t *testing.T, open Open) {
 	const writers, rounds = 4, 20
 	s := newSession(t, open)
-	var expected platform.Version
+	var expected objects.Version
 	for range rounds {
-		var wins []platform.Version
+		var wins []objects.Version
 		var mu sync.Mutex
 		var group sync.WaitGroup
 		for range writers {
@@ -131,7 +131,7 @@
 				defer mu.Unlock()
 				if err == nil {
 					wins = append(wins, version)
-				} else if !errors.Is(err, platform.ErrConflict) {
+				} else if !errors.Is(err, objects.ErrConflict) {
 					s.Errorf("racing write: %v", err)
 				}
 			})
--- a/platform/contract/watch.go
+++ b/objects/contract/watch.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 func runWatch(t *testing.T, open Open) {
@@ -17,7 +17,7 @@
 		{"only below the prefix", func(s *session) {
 			s.put("a/1", "1", 0, nil)
 			v := s.put("b/1", "2", 0, nil)
-			s.wantEvents(s.poll("b/", 0), false, platform.Event{Object: object("b/1", "2", v)})
+			s.wantEvents(s.poll("b/", 0), false, objects.Event{Object: object("b/1", "2", v)})
 		}},
 		{"waits for a change", watchWaits},
 		{"empty when the wait ends", func(s *session) {
@@ -49,9 +49,9 @@
 	s.remove("a/1", v2, nil)
 	batch := s.poll("a/", listing.Version)
 	s.wantEvents(batch, false,
-		platform.Event{Object: object("a/1", "2", v2)},
-		platform.Event{Object: object("a/2", "3", v3)},
-		platform.Event{Object: platform.Object{Key: "a/1", Version: v3 + 1}, Deleted: true},
+		objects.Event{Object: object("a/1", "2", v2)},
+		objects.Event{Object: object("a/2", "3", v3)},
+		objects.Event{Object: objects.Object{Key: "a/1", Version: v3 + 1}, Deleted: true},
 	)
 	if batch.Next != v3+1 {
 		s.Errorf("next %d, want %d", batch.Next, v3+1)
@@ -61,13 +61,13 @@
 
 func watchWaits(s *session) {
 	v := s.put("a", "1", 0, nil)
-	written := make(chan platform.Version, 1)
+	written := make(chan objects.Version, 1)
 	time.AfterFunc(PollWait/4, func() {
 		version, _ := s.Store.Put(s.context(deadline), "a", []byte("2"), v, "2")
 		written <- version
 	})
 	batch := s.poll("a", v)
-	s.wantEvents(batch, false, platform.Event{Object: object("a", "2", <-written)})
+	s.wantEvents(batch, false, objects.Event{Object: object("a", "2", <-written)})
 }
 
 func watchReset(s *session) {
@@ -78,8 +78,8 @@
 		last = s.put("a/new", strconv.Itoa(i), last, nil)
 	}
 	s.wantEvents(s.poll("a/", v), true,
-		platform.Event{Object: object("a/new", strconv.Itoa(History-1), last)},
-		platform.Event{Object: object("a/old", "1", v)},
+		objects.Event{Object: object("a/new", strconv.Itoa(History-1), last)},
+		objects.Event{Object: object("a/old", "1", v)},
 	)
 	if batch := s.poll("a/", first); batch.Reset || len(batch.Events) != History {
 		s.Errorf("poll within the history: reset %v, %d events", batch.Reset, len(batch.Events))
@@ -87,11 +87,11 @@
 }
 
 // object returns an object whose value is also its write id.
-func object(key, value string, version platform.Version) platform.Object {
-	return platform.Object{Key: key, Value: []byte(value), Version: version, WriteID: value}
+func object(key, value string, version objects.Version) objects.Object {
+	return objects.Object{Key: key, Value: []byte(value), Version: version, WriteID: value}
 }
 
-func (s *session) wantEvents(batch platform.Batch, reset bool, want ...platform.Event) {
+func (s *session) wantEvents(batch objects.Batch, reset bool, want ...objects.Event) {
 	s.Helper()
 	same := batch.Reset == reset && len(batch.Events) == len(want)
 	for i := range want {
@@ -102,7 +102,7 @@
 	}
 }
 
-func sameEvent(a, b platform.Event) bool {
+func sameEvent(a, b objects.Event) bool {
 	return a.Deleted == b.Deleted && a.Object.Key == b.Object.Key && a.Object.Version == b.Object.Version &&
 		string(a.Object.Value) == string(b.Object.Value) && a.Object.WriteID == b.Object.WriteID
 }
--- a/platform/httpstore/httpstore.go
+++ b/objects/httpstore/httpstore.go
@@ -17,7 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -49,14 +49,14 @@
 	Client *http.Client
 }
 
-// Store is a platform.Store reached over HTTP. It is safe for concurrent use.
+// Store is a objects.Store reached over HTTP. It is safe for concurrent use.
 type Store struct {
 	base     string
 	pollWait time.Duration
 	client   *http.Client
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objects.Store = (*Store)(nil)
 
 // New returns a client of the store at base, for example "http://127.0.0.1:7000".
 func New(base string, o Options) *Store {
@@ -74,23 +74,23 @@
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objects.Store.
+func (s *Store) Get(ctx context.Context, key string) (objects.Object, error) {
 	answer, err := s.read(ctx, objectPath(key))
 	if err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	if answer.status == http.StatusNotFound {
-		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		return objects.Object{}, errors.Wrapf(objects.ErrNotFound, "key %q", key)
 	}
 	if answer.status != http.StatusOK {
-		return platform.Object{}, answer.failure()
+		return objects.Object{}, answer.failure()
 	}
 	version, err := answer.version()
 	if err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
-	return platform.Object{
+	return objects.Object{
 		Key:     key,
 		Value:   answer.body,
 		Version: version,
@@ -98,18 +98,18 @@
 	}, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+// List implements objects.Store.
+func (s *Store) List(ctx context.Context, prefix string) (objects.Listing, error) {
 	query := url.Values{"prefix": {prefix}}
 	var listing ListingMessage
 	if err := s.readJSON(ctx, "/v1/objects?"+query.Encode(), &listing); err != nil {
-		return platform.Listing{}, err
+		return objects.Listing{}, err
 	}
 	return listing.Listing(), nil
 }
 
-// Poll implements platform.Store.
-func (s *Store) Poll(ctx context.Context, prefix string, after platform.Version) (platform.Batch, error) {
+// Poll implements objects.Store.
+func (s *Store) Poll(ctx context.Context, prefix string, after objects.Version) (objects.Batch, error) {
 	query := url.Values{
 		"prefix":  {prefix},
 		"after":   {formatVersion(after)},
@@ -119,17 +119,17 @@
 	defer cancel()
 	var batch BatchMessage
 	if err := s.readJSON(ctx, "/v1/watch?"+query.Encode(), &batch); err != nil {
-		return platform.Batch{}, err
+		return objects.Batch{}, err
 	}
 	return batch.Batch(), nil
 }
 
-// Put implements platform.Store.
+// Put implements objects.Store.
 func (s *Store) Put(
-	ctx context.Context, key string, value []byte, expected platform.Version, writeID string,
-) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, errors.Wrapf(platform.ErrTooLarge, "key %q: %d bytes", key, len(value))
+	ctx context.Context, key string, value []byte, expected objects.Version, writeID string,
+) (objects.Version, error) {
+	if len(value) > objects.MaxValueBytes {
+		return 0, errors.Wrapf(objects.ErrTooLarge, "key %q: %d bytes", key, len(value))
 	}
 	answer, err := s.write(ctx, http.MethodPut, key, value, expected, writeID)
 	if err != nil {
@@ -137,13 +137,13 @@
 	}
 	version, err := answer.version()
 	if err != nil {
-		return 0, errors.Mark(err, platform.ErrUnknownOutcome)
+		return 0, errors.Mark(err, objects.ErrUnknownOutcome)
 	}
 	return version, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements objects.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected objects.Version) error {
 	_, err := s.write(ctx, http.MethodDelete, key, nil, expected, "")
 	return err
 }
@@ -169,13 +169,13 @@
 	}
 	got, err := s.do(request)
 	if err != nil {
-		return answer{}, errors.Mark(err, platform.ErrUnavailable)
+		return answer{}, errors.Mark(err, objects.ErrUnavailable)
 	}
 	return got, nil
 }
 
 func (s *Store) write(
-	ctx context.Context, method, key string, value []byte, expected platform.Version, writeID string,
+	ctx context.Context, method, key string, value []byte, expected objects.Version, writeID string,
 ) (answer, error) {
 	request, err := http.NewRequestWithContext(ctx, method, s.base+objectPath(key), bytes.NewReader(value))
 	if err != nil {
@@ -196,7 +196,7 @@
 	}
 	failure := errors.Wrapf(got.failure(), "key %q", key)
 	if errors.Is(failure, ErrProtocol) {
-		failure = errors.Mark(failure, platform.ErrUnknownOutcome)
+		failure = errors.Mark(failure, objects.ErrUnknownOutcome)
 	}
 	return answer{}, failure
 }
@@ -205,9 +205,9 @@
 func classifyWrite(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, objects.ErrUnavailable)
 	}
-	return errors.Mark(err, platform.ErrUnknownOutcome)
+	return errors.Mark(err, objects.ErrUnknownOutcome)
 }
 
 func (s *Store) do(request *http.Request) (answer, error) {
--- a/platform/httpstore/httpstore_test.go
+++ b/objects/httpstore/httpstore_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // TestPollOfASilentStoreEnds polls a store that takes connections and never answers, as one
@@ -29,7 +29,7 @@
 	}()
 	select {
 	case err := <-ended:
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, objects.ErrUnavailable) {
 			t.Errorf("got %v", err)
 		}
 	case <-time.After(2 * pollMargin):
@@ -46,13 +46,13 @@
 		want    error
 	}{
 		{"written", 200, "7", nil},
-		{"without a version", 200, "", platform.ErrUnknownOutcome},
-		{"conflict", 409, "", platform.ErrConflict},
-		{"too large", 413, "", platform.ErrTooLarge},
-		{"above the rate", 429, "", platform.ErrUnavailable},
-		{"down", 503, "", platform.ErrUnavailable},
-		{"failure of the store", 500, "", platform.ErrUnknownOutcome},
-		{"failure on the way", 502, "", platform.ErrUnknownOutcome},
+		{"without a version", 200, "", objects.ErrUnknownOutcome},
+		{"conflict", 409, "", objects.ErrConflict},
+		{"too large", 413, "", objects.ErrTooLarge},
+		{"above the rate", 429, "", objects.ErrUnavailable},
+		{"down", 503, "", objects.ErrUnavailable},
+		{"failure of the store", 500, "", objects.ErrUnknownOutcome},
+		{"failure on the way", 502, "", objects.ErrUnknownOutcome},
 	}
 	for _, row := range rows {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/platform/httpstore/messages.go
+++ b/objects/httpstore/messages.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // ObjectMessage is one object in JSON; the value is in base64.
@@ -33,7 +33,7 @@
 }
 
 // NewListingMessage returns the message of a listing.
-func NewListingMessage(l platform.Listing) ListingMessage {
+func NewListingMessage(l objects.Listing) ListingMessage {
 	m := ListingMessage{Version: int64(l.Version), Objects: make([]ObjectMessage, 0, len(l.Objects))}
 	for _, object := range l.Objects {
 		m.Objects = append(m.Objects, newObjectMessage(object))
@@ -42,8 +42,8 @@
 }
 
 // Listing returns the listing of the message.
-func (m ListingMessage) Listing() platform.Listing {
-	l := platform.Listing{Version: platform.Version(m.Version)}
+func (m ListingMessage) Listing() objects.Listing {
+	l := objects.Listing{Version: objects.Version(m.Version)}
 	for _, object := range m.Objects {
 		l.Objects = append(l.Objects, object.object())
 	}
@@ -51,7 +51,7 @@
 }
 
 // NewBatchMessage returns the message of a batch.
-func NewBatchMessage(b platform.Batch) BatchMessage {
+func NewBatchMessage(b objects.Batch) BatchMessage {
 	m := BatchMessage{Next: int64(b.Next), Reset: b.Reset, Events: make([]ObjectMessage, 0, len(b.Events))}
 	for _, event := range b.Events {
 		object := newObjectMessage(event.Object)
@@ -62,23 +62,23 @@
 }
 
 // Batch returns the batch of the message.
-func (m BatchMessage) Batch() platform.Batch {
-	b := platform.Batch{Next: platform.Version(m.Next), Reset: m.Reset}
+func (m BatchMessage) Batch() objects.Batch {
+	b := objects.Batch{Next: objects.Version(m.Next), Reset: m.Reset}
 	for _, event := range m.Events {
-		b.Events = append(b.Events, platform.Event{Object: event.object(), Deleted: event.Deleted})
+		b.Events = append(b.Events, objects.Event{Object: event.object(), Deleted: event.Deleted})
 	}
 	return b
 }
 
-func newObjectMessage(o platform.Object) ObjectMessage {
+func newObjectMessage(o objects.Object) ObjectMessage {
 	return ObjectMessage{Key: o.Key, Value: o.Value, Version: int64(o.Version), WriteID: o.WriteID}
 }
 
-func (m ObjectMessage) object() platform.Object {
-	return platform.Object{
+func (m ObjectMessage) object() objects.Object {
+	return objects.Object{
 		Key:     m.Key,
 		Value:   m.Value,
-		Version: platform.Version(m.Version),
+		Version: objects.Version(m.Version),
 		WriteID: m.WriteID,
 	}
 }
@@ -90,30 +90,30 @@
 	body   []byte
 }
 
-func (a answer) version() (platform.Version, error) {
+func (a answer) version() (objects.Version, error) {
 	version, err := strconv.ParseInt(a.header.Get(HeaderVersion), 10, 64)
 	if err != nil || version <= 0 {
 		return 0, errors.Wrapf(ErrProtocol, "version %q", a.header.Get(HeaderVersion))
 	}
-	return platform.Version(version), nil
+	return objects.Version(version), nil
 }
 
 // failure returns the error that a status other than 200 stands for.
 func (a answer) failure() error {
 	switch a.status {
 	case http.StatusNotFound:
-		return errors.WithStack(platform.ErrNotFound)
+		return errors.WithStack(objects.ErrNotFound)
 	case http.StatusConflict:
-		return errors.WithStack(platform.ErrConflict)
+		return errors.WithStack(objects.ErrConflict)
 	case http.StatusRequestEntityTooLarge:
-		return errors.WithStack(platform.ErrTooLarge)
+		return errors.WithStack(objects.ErrTooLarge)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return errors.Wrapf(platform.ErrUnavailable, "status %d", a.status)
+		return errors.Wrapf(objects.ErrUnavailable, "status %d", a.status)
 	default:
 		return errors.Wrapf(ErrProtocol, "status %d", a.status)
 	}
 }
 
-func formatVersion(v platform.Version) string {
+func formatVersion(v objects.Version) string {
 	return strconv.FormatInt(int64(v), 10)
 }
--- a/platform/memstore/faults.go
+++ b/objects/memstore/faults.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 // Faults says how the store misbehaves; the zero value is a sound store.
@@ -48,7 +48,7 @@
 func (s *Store) admit(ctx context.Context) error {
 	faults := s.CurrentFaults()
 	if faults.Down {
-		return errors.Wrap(platform.ErrUnavailable, "store is down")
+		return errors.Wrap(objects.ErrUnavailable, "store is down")
 	}
 	if faults.Delay > 0 {
 		return sleep(ctx, faults.Delay)
@@ -60,12 +60,12 @@
 }
 
 type writeResult struct {
-	version platform.Version
+	version objects.Version
 	err     error
 }
 
 // write runs apply under the lock, later if writes are delayed, and may lose its answer.
-func (s *Store) write(ctx context.Context, apply func() (platform.Version, error)) (platform.Version, error) {
+func (s *Store) write(ctx context.Context, apply func() (objects.Version, error)) (objects.Version, error) {
 	if err := s.admit(ctx); err != nil {
 		return 0, err
 	}
@@ -82,16 +82,16 @@
 	case result := <-done:
 		return result.version, result.err
 	case <-ctx.Done():
-		return 0, errors.Wrap(platform.ErrUnknownOutcome, "the caller gave up on a delayed write")
+		return 0, errors.Wrap(objects.ErrUnknownOutcome, "the caller gave up on a delayed write")
 	}
 }
 
-func (s *Store) applyNow(apply func() (platform.Version, error)) (platform.Version, error) {
+func (s *Store) applyNow(apply func() (objects.Version, error)) (objects.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version, err := apply()
 	if s.loseLocked() {
-		return 0, errors.Wrap(platform.ErrUnknownOutcome, "answer lost")
+		return 0, errors.Wrap(objects.ErrUnknownOutcome, "answer lost")
 	}
 	return version, err
 }
@@ -116,5 +116,5 @@
 }
 
 func unavailable(ctx context.Context) error {
-	return errors.Wrapf(platform.ErrUnavailable, "call ended before its effect: %v", ctx.Err())
+	return errors.Wrapf(objects.ErrUnavailable, "call ended before its effect: %v", ctx.Err())
 }
--- a/platform/memstore/memstore.go
+++ b/objects/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore keeps the objects of a platform.Store in memory, with faults that can
+// Package memstore keeps the objects of a objects.Store in memory, with faults that can
 // be switched on. It serves tests and the store stand-in.
 //
 // Lock order: a Store has one mutex and calls nothing while holding it.
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const (
@@ -33,25 +33,25 @@
 	Seed uint64
 }
 
-// Store is a platform.Store in memory. It is safe for concurrent use.
+// Store is a objects.Store in memory. It is safe for concurrent use.
 type Store struct {
 	pollWait time.Duration
 	history  int
 
 	mu      sync.Mutex
-	objects map[string]platform.Object
-	version platform.Version
+	objects map[string]objects.Object
+	version objects.Version
 	// events are the latest changes in order of their versions.
-	events []platform.Event
+	events []objects.Event
 	// dropped is the version of the latest change that events no longer holds.
-	dropped platform.Version
+	dropped objects.Version
 	// changed is closed and replaced at each change and each new setting of the faults.
 	changed chan struct{}
 	faults  Faults
 	random  *rand.Rand
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objects.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New(o Options) *Store {
@@ -64,84 +64,84 @@
 	return &Store{
 		pollWait: o.PollWait,
 		history:  o.History,
-		objects:  make(map[string]platform.Object),
+		objects:  make(map[string]objects.Object),
 		changed:  make(chan struct{}),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objects.Store.
+func (s *Store) Get(ctx context.Context, key string) (objects.Object, error) {
 	if err := s.admit(ctx); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		return objects.Object{}, errors.Wrapf(objects.ErrNotFound, "key %q", key)
 	}
 	return copyOf(object), nil
 }
 
-// List implements platform.Store. The objects are ordered by key.
-func (s *Store) List(ctx context.Context, prefix string) (platform.Listing, error) {
+// List implements objects.Store. The objects are ordered by key.
+func (s *Store) List(ctx context.Context, prefix string) (objects.Listing, error) {
 	if err := s.admit(ctx); err != nil {
-		return platform.Listing{}, err
+		return objects.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return platform.Listing{Objects: s.belowLocked(prefix), Version: s.version}, nil
+	return objects.Listing{Objects: s.belowLocked(prefix), Version: s.version}, nil
 }
 
-// Put implements platform.Store.
+// Put implements objects.Store.
 func (s *Store) Put(
-	ctx context.Context, key string, value []byte, expected platform.Version, writeID string,
-) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, errors.Wrapf(platform.ErrTooLarge, "key %q: %d bytes", key, len(value))
+	ctx context.Context, key string, value []byte, expected objects.Version, writeID string,
+) (objects.Version, error) {
+	if len(value) > objects.MaxValueBytes {
+		return 0, errors.Wrapf(objects.ErrTooLarge, "key %q: %d bytes", key, len(value))
 	}
-	object := platform.Object{Key: key, Value: slices.Clone(value), WriteID: writeID}
-	return s.write(ctx, func() (platform.Version, error) {
+	object := objects.Object{Key: key, Value: slices.Clone(value), WriteID: writeID}
+	return s.write(ctx, func() (objects.Version, error) {
 		return s.putLocked(object, expected)
 	})
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
-	_, err := s.write(ctx, func() (platform.Version, error) {
+// Delete implements objects.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected objects.Version) error {
+	_, err := s.write(ctx, func() (objects.Version, error) {
 		return s.deleteLocked(key, expected)
 	})
 	return err
 }
 
-func (s *Store) putLocked(object platform.Object, expected platform.Version) (platform.Version, error) {
+func (s *Store) putLocked(object objects.Object, expected objects.Version) (objects.Version, error) {
 	if current := s.objects[object.Key].Version; current != expected {
 		return 0, conflict(object.Key, current, expected)
 	}
 	s.version++
 	object.Version = s.version
 	s.objects[object.Key] = object
-	s.recordLocked(platform.Event{Object: object})
+	s.recordLocked(objects.Event{Object: object})
 	return object.Version, nil
 }
 
-func (s *Store) deleteLocked(key string, expected platform.Version) (platform.Version, error) {
+func (s *Store) deleteLocked(key string, expected objects.Version) (objects.Version, error) {
 	object, ok := s.objects[key]
 	if !ok {
-		return 0, errors.Wrapf(platform.ErrNotFound, "key %q", key)
+		return 0, errors.Wrapf(objects.ErrNotFound, "key %q", key)
 	}
 	if object.Version != expected {
 		return 0, conflict(key, object.Version, expected)
 	}
 	s.version++
 	delete(s.objects, key)
-	gone := platform.Object{Key: key, Version: s.version}
-	s.recordLocked(platform.Event{Object: gone, Deleted: true})
+	gone := objects.Object{Key: key, Version: s.version}
+	s.recordLocked(objects.Event{Object: gone, Deleted: true})
 	return s.version, nil
 }
 
-func (s *Store) recordLocked(event platform.Event) {
+func (s *Store) recordLocked(event objects.Event) {
 	s.events = append(s.events, event)
 	if excess := len(s.events) - s.history; excess > 0 {
 		s.dropped = s.events[excess-1].Object.Version
@@ -155,8 +155,8 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) belowLocked(prefix string) []platform.Object {
-	var objects []platform.Object
+func (s *Store) belowLocked(prefix string) []objects.Object {
+	var objects []objects.Object
 	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
 		if strings.HasPrefix(key, prefix) {
 			objects = append(objects, copyOf(s.objects[key]))
@@ -165,11 +165,11 @@
 	return objects
 }
 
-func conflict(key string, current, expected platform.Version) error {
-	return errors.Wrapf(platform.ErrConflict, "key %q: version %d, expected %d", key, current, expected)
+func conflict(key string, current, expected objects.Version) error {
+	return errors.Wrapf(objects.ErrConflict, "key %q: version %d, expected %d", key, current, expected)
 }
 
-func copyOf(object platform.Object) platform.Object {
+func copyOf(object objects.Object) objects.Object {
 	object.Value = slices.Clone(object.Value)
 	return object
 }
--- a/platform/memstore/memstore_test.go
+++ b/objects/memstore/memstore_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"github.com/auburnrelay/auburnrelay/platform/contract"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects/contract"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 func TestContract(t *testing.T) {
--- a/platform/memstore/poll.go
+++ b/objects/memstore/poll.go
@@ -7,20 +7,20 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
-// Poll implements platform.Store; it waits for the PollWait of the options.
-func (s *Store) Poll(ctx context.Context, prefix string, after platform.Version) (platform.Batch, error) {
+// Poll implements objects.Store; it waits for the PollWait of the options.
+func (s *Store) Poll(ctx context.Context, prefix string, after objects.Version) (objects.Batch, error) {
 	return s.PollFor(ctx, prefix, after, s.pollWait)
 }
 
 // PollFor is Poll with a wait of its own.
 func (s *Store) PollFor(
-	ctx context.Context, prefix string, after platform.Version, wait time.Duration,
-) (platform.Batch, error) {
+	ctx context.Context, prefix string, after objects.Version, wait time.Duration,
+) (objects.Batch, error) {
 	if err := s.admit(ctx); err != nil {
-		return platform.Batch{}, err
+		return objects.Batch{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -34,31 +34,31 @@
 		case <-timer.C:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, unavailable(ctx)
+			return objects.Batch{}, unavailable(ctx)
 		}
 	}
 }
 
 // batch returns what a poll may answer now, and the channel of the next change.
-func (s *Store) batch(prefix string, after platform.Version) (platform.Batch, <-chan struct{}, error) {
+func (s *Store) batch(prefix string, after objects.Version) (objects.Batch, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.faults.Down || s.faults.WatchBroken:
-		return platform.Batch{}, nil, errors.Wrap(platform.ErrUnavailable, "watch broken")
+		return objects.Batch{}, nil, errors.Wrap(objects.ErrUnavailable, "watch broken")
 	case s.faults.StaleWatch && after > 0:
 		return s.staleLocked(prefix, after), s.changed, nil
 	case after < s.dropped || after > s.version:
 		return s.resetLocked(prefix), s.changed, nil
 	}
-	return platform.Batch{Events: s.eventsLocked(prefix, after), Next: s.version}, s.changed, nil
+	return objects.Batch{Events: s.eventsLocked(prefix, after), Next: s.version}, s.changed, nil
 }
 
 // staleLocked answers as a replica does that lost the place of the watch. Where there are
 // newer changes it starts from the oldest change kept; otherwise it lags behind the caller,
 // without the latest change that the caller has seen.
-func (s *Store) staleLocked(prefix string, after platform.Version) platform.Batch {
-	batch := platform.Batch{Events: s.eventsLocked(prefix, s.dropped), Next: s.version}
+func (s *Store) staleLocked(prefix string, after objects.Version) objects.Batch {
+	batch := objects.Batch{Events: s.eventsLocked(prefix, s.dropped), Next: s.version}
 	if s.version > after {
 		return batch
 	}
@@ -70,16 +70,16 @@
 	return batch
 }
 
-func (s *Store) resetLocked(prefix string) platform.Batch {
-	batch := platform.Batch{Next: s.version, Reset: true}
+func (s *Store) resetLocked(prefix string) objects.Batch {
+	batch := objects.Batch{Next: s.version, Reset: true}
 	for _, object := range s.belowLocked(prefix) {
-		batch.Events = append(batch.Events, platform.Event{Object: object})
+		batch.Events = append(batch.Events, objects.Event{Object: object})
 	}
 	return batch
 }
 
-func (s *Store) eventsLocked(prefix string, after platform.Version) []platform.Event {
-	var events []platform.Event
+func (s *Store) eventsLocked(prefix string, after objects.Version) []objects.Event {
+	var events []objects.Event
 	for _, event := range s.events {
 		if event.Object.Version > after && strings.HasPrefix(event.Object.Key, prefix) {
 			events = append(events, copyOfEvent(event))
@@ -88,7 +88,7 @@
 	return events
 }
 
-func copyOfEvent(event platform.Event) platform.Event {
+func copyOfEvent(event objects.Event) objects.Event {
 	event.Object = copyOf(event.Object)
 	return event
 }
--- a/platform/store.go
+++ b/objects/store.go
@@ -1,9 +1,9 @@
-// Package platform is the narrow interface to the platform's object store.
+// Package objects is the narrow interface to the platform's object store.
 //
 // The store keeps named objects of at most MaxValueBytes. Versions are taken from one
 // counter that grows with each change to any object, so the versions of one object
 // only grow. Everything that the system agrees on or keeps goes through Store.
-package platform
+package objects
 
 import (
 	"context"
--- a/standin/store/admin.go
+++ b/standin/store/admin.go
@@ -7,7 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 // FaultsMessage is the JSON form of the faults; times are in milliseconds.
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -18,9 +18,9 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/httpstore"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/httpstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const (
@@ -125,7 +125,7 @@
 		return err
 	}
 	wait := min(time.Duration(waitMillis)*time.Millisecond, maxPollWait)
-	batch, err := s.memory.PollFor(c.Request().Context(), c.QueryParam("prefix"), platform.Version(after), wait)
+	batch, err := s.memory.PollFor(c.Request().Context(), c.QueryParam("prefix"), objects.Version(after), wait)
 	if err != nil {
 		return err
 	}
@@ -142,12 +142,12 @@
 	if err != nil {
 		return err
 	}
-	value, err := io.ReadAll(io.LimitReader(c.Request().Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(c.Request().Body, objects.MaxValueBytes+1))
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, "body is cut short")
 	}
 	writeID := c.Request().Header.Get(httpstore.HeaderWriteID)
-	version, err := s.memory.Put(c.Request().Context(), key, value, platform.Version(expected), writeID)
+	version, err := s.memory.Put(c.Request().Context(), key, value, objects.Version(expected), writeID)
 	if err != nil {
 		return err
 	}
@@ -165,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.memory.Delete(c.Request().Context(), key, platform.Version(expected)); err != nil {
+	if err := s.memory.Delete(c.Request().Context(), key, objects.Version(expected)); err != nil {
 		return err
 	}
 	return c.NoContent(http.StatusOK)
@@ -191,15 +191,15 @@
 	switch {
 	case errors.As(err, &httpError):
 		status = httpError.Code
-	case errors.Is(err, platform.ErrUnknownOutcome), errors.Is(err, context.Canceled):
+	case errors.Is(err, objects.ErrUnknownOutcome), errors.Is(err, context.Canceled):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		status = http.StatusConflict
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objects.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objects.ErrUnavailable):
 		status = http.StatusServiceUnavailable
 	}
 	if c.Response().Committed {
@@ -231,6 +231,6 @@
 	return n, nil
 }
 
-func formatVersion(v platform.Version) string {
+func formatVersion(v objects.Version) string {
 	return strconv.FormatInt(int64(v), 10)
 }
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/auburnrelay/auburnrelay/platform"
-	"github.com/auburnrelay/auburnrelay/platform/contract"
-	"github.com/auburnrelay/auburnrelay/platform/httpstore"
-	"github.com/auburnrelay/auburnrelay/platform/memstore"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/contract"
+	"github.com/auburnrelay/auburnrelay/objects/httpstore"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const unlimited = 1e6
@@ -85,7 +85,7 @@
 		taken := 0
 		began := time.Now()
 		for range 2 * burst {
-			if !errors.Is(call(), platform.ErrUnavailable) {
+			if !errors.Is(call(), objects.ErrUnavailable) {
 				taken++
 			}
 		}
