Serve pipelined requests of a connection side by side

Cause: net/http answers requests sent behind each other one after another; 1331 of 5976 requests took over half of their objective to reach the first target. Ruled out: queueing at the target (bookings, which come alone, took 77 ms at p50). Change: node/pipeline reads requests as they come and answers in order.

--- /dev/null
+++ b/node/pipeline/exchange.go
@@ -0,0 +1,180 @@
+package pipeline
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// writeTime bounds a write to a caller that does not read: no answer is waited for as long.
+const writeTime = 30 * time.Second
+
+// heldBytes is how much of an answer is held until the handler ends; a longer one is written as
+// it comes.
+const heldBytes = 128 << 10
+
+// exchange is one request with its answer. It is the http.ResponseWriter of its handler.
+type exchange struct {
+	connection *connection
+	request    *http.Request
+	// turn is closed when the request before has been answered, done when this one has.
+	turn, done chan struct{}
+	// handled is closed when the handler has ended.
+	handled chan struct{}
+	// closes tells that the connection ends after the answer.
+	closes bool
+
+	header  http.Header
+	status  int
+	held    bytes.Buffer
+	started bool
+	chunked bool
+	failed  error
+}
+
+// serve runs the handler and writes what it left to write.
+func (x *exchange) serve(h http.Handler) {
+	defer x.connection.finish(x)
+	aborted := x.handle(h)
+	close(x.handled)
+	<-x.turn
+	if aborted || x.failed != nil {
+		x.connection.abort()
+		return
+	}
+	if !x.started {
+		x.header.Set("Content-Length", strconv.Itoa(x.bodyLength()))
+		x.start()
+	}
+	if x.chunked {
+		x.write([]byte("0\r\n\r\n"))
+	}
+	if x.failed != nil {
+		x.connection.abort()
+	}
+}
+
+// bodyLength is the length of an answer that is held whole.
+func (x *exchange) bodyLength() int {
+	if x.request.Method == http.MethodHead {
+		if n, err := strconv.Atoi(x.header.Get("Content-Length")); err == nil {
+			return n
+		}
+	}
+	return x.held.Len()
+}
+
+func (x *exchange) handle(h http.Handler) (aborted bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler { //nolint:errorlint // the value of a panic
+				panic(p)
+			}
+			aborted = true
+		}
+	}()
+	h.ServeHTTP(x, x.request)
+	return false
+}
+
+// Header implements http.ResponseWriter.
+func (x *exchange) Header() http.Header { return x.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (x *exchange) WriteHeader(status int) {
+	if x.status == 0 {
+		x.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (x *exchange) Write(p []byte) (int, error) {
+	x.WriteHeader(http.StatusOK)
+	if x.request.Method == http.MethodHead || !hasBody(x.status) {
+		return len(p), nil
+	}
+	if !x.started && x.held.Len()+len(p) <= heldBytes {
+		return x.held.Write(p)
+	}
+	if !x.started {
+		<-x.turn
+		x.chunked = x.header.Get("Content-Length") == "" && x.request.ProtoAtLeast(1, 1)
+		x.start()
+	}
+	if x.chunked {
+		x.write([]byte(strconv.FormatInt(int64(len(p)), 16) + "\r\n"))
+		x.write(p)
+		x.write([]byte("\r\n"))
+	} else {
+		x.write(p)
+	}
+	if x.failed != nil {
+		return 0, x.failed
+	}
+	return len(p), nil
+}
+
+func hasBody(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// start writes the head and what is held; the exchange has its turn.
+func (x *exchange) start() {
+	x.started = true
+	x.WriteHeader(http.StatusOK)
+	if x.chunked {
+		x.header.Set("Transfer-Encoding", "chunked")
+	} else if !hasBody(x.status) {
+		x.header.Del("Content-Length")
+	}
+	if x.connection.mustClose(x) {
+		x.header.Set("Connection", "close")
+	}
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 " + strconv.Itoa(x.status) + " " + http.StatusText(x.status) + "\r\n")
+	// A write to a buffer does not fail.
+	_ = x.header.Write(&head)
+	head.WriteString("\r\n")
+	if x.chunked && x.held.Len() > 0 {
+		head.WriteString(strconv.FormatInt(int64(x.held.Len()), 16) + "\r\n")
+		head.Write(x.held.Bytes())
+		head.WriteString("\r\n")
+	} else {
+		head.Write(x.held.Bytes())
+	}
+	x.write(head.Bytes())
+}
+
+func (x *exchange) write(p []byte) {
+	if x.failed == nil {
+		_ = x.connection.SetWriteDeadline(time.Now().Add(writeTime))
+		_, x.failed = x.connection.Conn.Write(p)
+	}
+}
+
+// body is a request's body; it tells when it was read to its end.
+type body struct {
+	io.ReadCloser
+	exchange *exchange
+	// expects tells that the caller waits for the word to send the body.
+	expects bool
+	once    sync.Once
+	ended   chan struct{}
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if b.expects {
+		b.expects = false
+		<-b.exchange.turn
+		b.exchange.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.once.Do(func() { close(b.ended) })
+	}
+	return n, err
+}
--- /dev/null
+++ b/node/pipeline/pipeline_test.go
@@ -0,0 +1,225 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(h, Options{HeaderBytes: 8 << 10, HeaderTime: time.Second, IdleTime: time.Minute})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s, l.Addr().String()
+}
+
+type caller struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	return &caller{Conn: c, t: t, r: bufio.NewReader(c)}
+}
+
+func (c *caller) send(path string) {
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *caller) answer() (*http.Response, string, error) {
+	response, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+// TestRequestsOfAConnectionRunSideBySide sends a slow request and a fast one behind it: both run
+// at once, and the answers come in the order of the requests.
+func TestRequestsOfAConnectionRunSideBySide(t *testing.T) {
+	second := make(chan struct{})
+	_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			<-second
+		} else {
+			close(second)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	c := dial(t, address)
+	c.send("/first")
+	c.send("/second")
+	for _, want := range []string{"/first", "/second"} {
+		if _, got, err := c.answer(); err != nil || got != want {
+			t.Fatalf("got %q, %v, want %q", got, err, want)
+		}
+	}
+}
+
+// TestCallerThatLeftIsNoticed closes a connection with two requests on it.
+func TestCallerThatLeftIsNoticed(t *testing.T) {
+	var ended atomic.Int64
+	_, address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended.Add(1)
+	})
+	c := dial(t, address)
+	c.send("/a")
+	c.send("/b")
+	time.Sleep(50 * time.Millisecond)
+	_ = c.Close()
+	for range 100 {
+		if ended.Load() == 2 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("%d of 2 requests ended", ended.Load())
+}
+
+// TestAbortedAnswerDoesNotLookWhole breaks an answer off, held and begun.
+func TestAbortedAnswerDoesNotLookWhole(t *testing.T) {
+	for _, size := range []int{10, 2 * heldBytes} {
+		_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(2*size))
+			_, _ = io.WriteString(w, strings.Repeat("x", size))
+			panic(http.ErrAbortHandler)
+		})
+		c := dial(t, address)
+		c.send("/")
+		if _, got, err := c.answer(); err == nil {
+			t.Errorf("%d of %d bytes look whole", len(got), 2*size)
+		}
+	}
+}
+
+// TestLongAnswerWithoutALength is sent in chunks.
+func TestLongAnswerWithoutALength(t *testing.T) {
+	_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range 3 {
+			_, _ = io.WriteString(w, strings.Repeat("x", heldBytes))
+		}
+	})
+	c := dial(t, address)
+	for range 2 {
+		c.send("/")
+		if _, got, err := c.answer(); err != nil || len(got) != 3*heldBytes {
+			t.Fatalf("got %d bytes, %v", len(got), err)
+		}
+	}
+}
+
+// TestBodiesAreReadBeforeTheNextRequest sends bodies by length and in chunks, read and left.
+func TestBodiesAreReadBeforeTheNextRequest(t *testing.T) {
+	_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read" {
+			_, _ = io.Copy(w, r.Body)
+		}
+	})
+	c := dial(t, address)
+	for _, path := range []string{"/read", "/left"} {
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", path)
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", path)
+	}
+	for _, want := range []string{"body", "body", "", ""} {
+		if _, got, err := c.answer(); err != nil || got != want {
+			t.Fatalf("got %q, %v, want %q", got, err, want)
+		}
+	}
+}
+
+// TestLeaveClosesAfterTheLastAnswer stops a server while a connection carries requests: all that
+// were read are answered, and the last answer says that the connection ends.
+func TestLeaveClosesAfterTheLastAnswer(t *testing.T) {
+	release := make(chan struct{})
+	s, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	busy, idle := dial(t, address), dial(t, address)
+	busy.send("/a")
+	busy.send("/b")
+	time.Sleep(50 * time.Millisecond)
+	s.Leave()
+	close(release)
+	for i, want := range []string{"/a", "/b"} {
+		response, got, err := busy.answer()
+		if err != nil || got != want || response.Close != (i == 1) {
+			t.Fatalf("got %q, close %v, %v", got, response.Close, err)
+		}
+	}
+	idle.send("/c")
+	if response, got, err := idle.answer(); err != nil || got != "/c" || !response.Close {
+		t.Errorf("kept connection: got %q, %v", got, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestShutdownWaitsForAnswers shuts down while a request runs.
+func TestShutdownWaitsForAnswers(t *testing.T) {
+	s, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	})
+	c, idle := dial(t, address), dial(t, address)
+	c.send("/")
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	if _, got, err := c.answer(); err != nil || got != "whole" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if _, err := idle.r.ReadByte(); err == nil {
+		t.Error("an idle connection stays open")
+	}
+}
+
+// TestBadRequests are answered and end the connection.
+func TestBadRequests(t *testing.T) {
+	_, address := serve(t, func(http.ResponseWriter, *http.Request) {})
+	rows := []struct {
+		text string
+		want int
+	}{
+		{"nonsense\r\n\r\n", http.StatusBadRequest},
+		{"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"GET / HTTP/1.1\r\nHost", http.StatusRequestTimeout},
+	}
+	for _, row := range rows {
+		c := dial(t, address)
+		_, _ = io.WriteString(c, row.text)
+		if response, _, err := c.answer(); err != nil || response.StatusCode != row.want || !response.Close {
+			t.Errorf("%.20q: got %v, %v, want %d", row.text, response, err, row.want)
+		}
+	}
+}
--- a/node/sidecar/servers.go
+++ b/node/sidecar/servers.go
@@ -11,33 +11,43 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/auburnrelay/auburnrelay/node/pipeline"
 	"github.com/auburnrelay/auburnrelay/platform"
 )
 
 // servers are the node's listeners with what serves them.
 type servers struct {
-	parts []*part
+	parts   []*part
+	callers *pipeline.Server
 	// stopping makes the node say that it is not ready.
 	stopping chan struct{}
 }
 
 type part struct {
 	listener net.Listener
-	server   *http.Server
+	server   server
+}
+
+// server is what net/http and package pipeline have in common.
+type server interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
 }
 
 func (s *servers) open(d *Daemon, callers, peers http.Handler) error {
 	s.stopping = make(chan struct{})
+	s.callers = pipeline.New(callers, pipeline.Options{HeaderBytes: headerBytes, HeaderTime: headerTime, IdleTime: idleTime})
 	at := d.settings.Listen
 	wanted := []struct {
 		field, address string
-		handler        http.Handler
+		server         server
 	}{
-		{"callers", at.Callers, callers},
-		{"peers", at.Peers, peers},
-		{"target", at.Target, platform.ControlHandler(d.ownership)},
-		{"ready", at.Ready, s.readyHandler(d)},
-		{"admin", at.Admin, adminHandler(d)},
+		{"callers", at.Callers, s.callers},
+		{"peers", at.Peers, newServer(peers)},
+		{"target", at.Target, newServer(platform.ControlHandler(d.ownership))},
+		{"ready", at.Ready, newServer(s.readyHandler(d))},
+		{"admin", at.Admin, newServer(adminHandler(d))},
 	}
 	for _, w := range wanted {
 		l, err := listen(w.field, w.address)
@@ -45,7 +55,7 @@
 			s.close()
 			return err
 		}
-		s.parts = append(s.parts, &part{listener: l, server: newServer(w.handler)})
+		s.parts = append(s.parts, &part{listener: l, server: w.server})
 	}
 	return nil
 }
@@ -60,7 +70,7 @@
 	for _, p := range s.parts {
 		group.Add(func() error {
 			err := p.server.Serve(p.listener)
-			if errors.Is(err, http.ErrServerClosed) {
+			if errors.IsAny(err, http.ErrServerClosed, pipeline.ErrClosed) {
 				return errStopped
 			}
 			return err
@@ -102,7 +112,7 @@
 // leave asks callers to close their connections: each further answer says so.
 func (s *servers) leave() {
 	close(s.stopping)
-	s.parts[0].server.SetKeepAlivesEnabled(false)
+	s.callers.Leave()
 }
 
 const (
