Wait for answers under way before the process ends

Ruled out: the time to stop (6 s were left) and the targets (they ran on). Change: a server's part of the group ends only when the stop has ended.

--- a/node/sidecar/servers.go
+++ b/node/sidecar/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,9 @@
 	callers *pipeline.Server
 	// stopping makes the node say that it is not ready.
 	stopping chan struct{}
+	// ended is closed when no answer is waited for any more.
+	ended chan struct{}
+	once  sync.Once
 }
 
 type part struct {
@@ -36,7 +40,7 @@
 }
 
 func (s *servers) open(d *Daemon, callers, peers http.Handler) error {
-	s.stopping = make(chan struct{})
+	s.stopping, s.ended = make(chan struct{}), make(chan struct{})
 	s.callers = pipeline.New(callers, pipeline.Options{HeaderBytes: headerBytes, HeaderTime: headerTime, IdleTime: idleTime})
 	at := d.settings.Listen
 	wanted := []struct {
@@ -71,10 +75,15 @@
 		group.Add(func() error {
 			err := p.server.Serve(p.listener)
 			if errors.IsAny(err, http.ErrServerClosed, pipeline.ErrClosed) {
+				// The listener is closed; answers may still be under way.
+				<-s.ended
 				return errStopped
 			}
 			return err
-		}, func(error) { _ = p.server.Close() })
+		}, func(error) {
+			s.once.Do(func() { close(s.ended) })
+			_ = p.server.Close()
+		})
 	}
 }
 
