Speak the platform's store protocol everywhere; drop the former one

Cause: two protocols to the store; the stand-in spoke one that no platform speaks. The contract's race gives each write an id of its own, as Put asks: a write that changes nothing makes no new revision. A value is kept in base64, so the largest one is 760 KiB.

--- a/node/daemon.go
+++ b/node/daemon.go
@@ -11,13 +11,13 @@
 	"github.com/auburnrelay/auburnrelay/node/settings"
 	"github.com/auburnrelay/auburnrelay/objects"
 	"github.com/auburnrelay/auburnrelay/objects/client"
-	"github.com/auburnrelay/auburnrelay/objects/httpstore"
+	"github.com/auburnrelay/auburnrelay/platform/objectstore"
 )
 
 // Run provisions a node over the store that its settings name and runs it.
 func Run(ctx context.Context, s *settings.Settings) error {
 	registry := prometheus.NewRegistry()
-	record := httpstore.New(s.Store.URL, httpstore.Options{PollWait: s.Store.WatchWait.Std()})
+	record := objectstore.New(s.Store.URL, objectstore.Options{PollWait: s.Store.WatchWait.Std()})
 	n, err := Provision(s, Stores{Record: record, Budgeted: openStore(record, s.Store, registry)}, registry, newLogger(s.Log))
 	if err != nil {
 		return err
--- a/objects/contract/objects.go
+++ b/objects/contract/objects.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -120,13 +121,14 @@
 	const writers, rounds = 4, 20
 	s := newSession(t, open)
 	var expected objects.Version
-	for range rounds {
+	for round := range rounds {
 		var wins []objects.Version
 		var mu sync.Mutex
 		var group sync.WaitGroup
-		for range writers {
+		for writer := range writers {
 			group.Go(func() {
-				version, err := s.Store.Put(s.context(deadline), "a", []byte("x"), expected, "x")
+				id := fmt.Sprintf("%d by %d", round, writer)
+				version, err := s.Store.Put(s.context(deadline), "a", []byte("x"), expected, id)
 				mu.Lock()
 				defer mu.Unlock()
 				if err == nil {
--- a/objects/memstore/memstore.go
+++ b/objects/memstore/memstore.go
@@ -29,6 +29,8 @@
 	PollWait time.Duration
 	// History is the number of changes kept for watches; 4096 by default.
 	History int
+	// MaxValueBytes is the largest value; objects.MaxValueBytes by default.
+	MaxValueBytes int
 	// Seed seeds the choice of which answers are lost.
 	Seed uint64
 }
@@ -37,6 +39,7 @@
 type Store struct {
 	pollWait time.Duration
 	history  int
+	maxBytes int
 
 	mu      sync.Mutex
 	objects map[string]objects.Object
@@ -61,7 +64,11 @@
 	if o.History <= 0 {
 		o.History = defaultHistory
 	}
+	if o.MaxValueBytes <= 0 {
+		o.MaxValueBytes = objects.MaxValueBytes
+	}
 	return &Store{
+		maxBytes: o.MaxValueBytes,
 		pollWait: o.PollWait,
 		history:  o.History,
 		objects:  make(map[string]objects.Object),
@@ -98,7 +105,7 @@
 func (s *Store) Put(
 	ctx context.Context, key string, value []byte, expected objects.Version, writeID string,
 ) (objects.Version, error) {
-	if len(value) > objects.MaxValueBytes {
+	if len(value) > s.maxBytes {
 		return 0, errors.Wrapf(objects.ErrTooLarge, "key %q: %d bytes", key, len(value))
 	}
 	object := objects.Object{Key: key, Value: slices.Clone(value), WriteID: writeID}
--- a/objects/store.go
+++ b/objects/store.go
@@ -11,8 +11,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxValueBytes is the largest value the store keeps, in bytes.
-const MaxValueBytes = 1 << 20
+// MaxValueBytes is the largest value the store keeps, in bytes: the platform's store takes a
+// megabyte, and a value is kept in base64, which adds a third.
+const MaxValueBytes = 760 << 10
 
 // Version numbers a state of an object; zero means that the object does not exist.
 type Version int64
