--- /dev/null
+++ b/core/holding/holding_test.go
@@ -0,0 +1,236 @@
+package holding
+
+import (
+	"testing"
+	"time"
+)
+
+func owners(names ...string) []Candidate {
+	var list []Candidate
+	for _, n := range names {
+		list = append(list, Candidate{Owner: Owner{Node: n, Target: "t-" + n, Born: 1}})
+	}
+	return list
+}
+
+func count(t *Table) map[string]int {
+	counts := map[string]int{}
+	for i := range t.Slices {
+		if o, ok := t.OwnerOf(i); ok {
+			counts[o.Node]++
+		} else {
+			counts[""]++
+		}
+	}
+	return counts
+}
+
+func TestAssignSpreadsNeighbours(t *testing.T) {
+	table := NewTable("s")
+	if !table.Assign(owners("a", "b", "c")) || table.Fence != 1 {
+		t.Fatalf("fence %d", table.Fence)
+	}
+	for name, n := range count(table) {
+		if n < Slices/3 || n > Slices/3+1 {
+			t.Errorf("%s owns %d slices", name, n)
+		}
+	}
+	for i := 1; i < Slices; i++ {
+		if table.Slices[i].Owner == table.Slices[i-1].Owner {
+			t.Fatalf("slices %d and %d have one owner", i-1, i)
+		}
+	}
+}
+
+// TestFencesGrow follows a slice over a loss, a move and another life of its target: each new
+// owner has a higher token than all before.
+func TestFencesGrow(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b")
+	table.Assign(all)
+	highest := table.Fence
+	step := func(what string, change func()) {
+		before := *table
+		change()
+		for i, s := range table.Slices {
+			moved := s.Owner >= 0 && (before.Slices[i].Owner < 0 || before.Owners[before.Slices[i].Owner] != table.Owners[s.Owner])
+			if moved && s.Fence <= highest {
+				t.Fatalf("%s: slice %d has token %d after %d", what, i, s.Fence, highest)
+			}
+			if !moved && s.Fence != before.Slices[i].Fence {
+				t.Fatalf("%s: the token of slice %d changed without a move", what, i)
+			}
+		}
+		highest = max(highest, table.Fence)
+	}
+	step("loss", func() { table.Free(all[0].Owner); table.Assign(all[1:]) })
+	joined := owners("b", "c")
+	step("mark", func() { table.Move(joined) })
+	step("move", func() {
+		for i, s := range table.Slices {
+			if s.Next >= 0 {
+				table.Release(i, "token")
+			}
+		}
+	})
+	reborn := []Candidate{{Owner: Owner{Node: "c", Target: "t-c", Born: 2}}, joined[0]}
+	step("another life", func() { table.Free(joined[1].Owner); table.Assign(reborn) })
+	if got := count(table); got["b"] > Slices/2+imbalance || got["b"]+got["c"] != Slices {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestMoveTakesTheLeast(t *testing.T) {
+	table := NewTable("s")
+	table.Assign(owners("a", "b"))
+	if table.Move(owners("a", "b")) {
+		t.Error("an even table moves slices")
+	}
+	table.Move(owners("a", "b", "c"))
+	moving := 0
+	for _, s := range table.Slices {
+		if s.Next >= 0 {
+			moving++
+		}
+	}
+	if moving < Slices/3-2*imbalance || moving > Slices/3+1 {
+		t.Errorf("%d of %d slices move to one of three", moving, Slices)
+	}
+}
+
+func TestLeavingTargetLosesAll(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b", "c")
+	table.Assign(all)
+	all[0].Leaving = true
+	table.Move(all)
+	for i := range table.Slices {
+		o, _ := table.OwnerOf(i)
+		next, moves := table.NextOf(i)
+		if (o.Node == "a") != moves || moves && next.Node == "a" {
+			t.Fatalf("slice %d of %s moves: %v to %s", i, o.Node, moves, next.Node)
+		}
+	}
+	if table.Needs(all) {
+		t.Error("the table still needs a change")
+	}
+}
+
+// TestLostNextOwner loses the target that slices are on their way to, before and after their
+// owner.
+func TestLostNextOwner(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b")
+	table.Assign(all[:1])
+	table.Move(all)
+	c := table.Clone()
+	c.Free(all[1].Owner)
+	for i, s := range c.Slices {
+		if o, ok := c.OwnerOf(i); !ok || o.Node != "a" || s.Next >= 0 {
+			t.Fatalf("slice %d: owner %v, next %d", i, o, s.Next)
+		}
+	}
+	table.Free(all[0].Owner)
+	if got := count(table); got["b"] < Slices/2-imbalance || got["a"] != 0 || got["b"]+got[""] != Slices {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestGrantsJoinAndCarryHandover(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b")
+	table.Assign(all[:1])
+	if got := table.Grants(all[0].Owner, nil); len(got) != 1 || got[0].From != 0 || got[0].To != KeyMax {
+		t.Errorf("one owner: %v", got)
+	}
+	table.Slices[3].Next = table.index(all[1].Owner)
+	table.Release(3, "token")
+	from, to := 3*SliceKeys, 4*SliceKeys-1
+	got := table.Grants(all[1].Owner, nil)
+	if len(got) != 1 || got[0] != (Grant{From: from, To: to, Fence: 2, Handover: "token"}) {
+		t.Errorf("moved slice: %v", got)
+	}
+	got = table.Grants(all[1].Owner, []Held{{From: from, To: to, Fence: 2}})
+	if len(got) != 1 || got[0].Handover != "" {
+		t.Errorf("the token is sent again: %v", got)
+	}
+}
+
+func TestReleasableWaitsForTheTarget(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b")
+	table.Assign(all[:1])
+	table.Slices[3].Next = table.index(all[1].Owner)
+	held := []Held{{From: 0, To: KeyMax, Fence: 1}}
+	if got := table.Releasable(all[0].Owner, held, nil); len(got) != 0 {
+		t.Errorf("held slices are given away: %v", got)
+	}
+	held = []Held{{From: 0, To: 3*SliceKeys - 1, Fence: 1}, {From: 4 * SliceKeys, To: KeyMax, Fence: 1}}
+	if got := table.Releasable(all[0].Owner, held, map[int]string{3: "x"}); len(got) != 1 || got[3] != "x" {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestRecordRoundTrip(t *testing.T) {
+	table := NewTable("s")
+	table.Assign(owners("a", "b"))
+	table.Move(owners("a", "b", "c"))
+	data, err := table.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Decode(data)
+	if err != nil || back.Slices != table.Slices || back.Fence != table.Fence {
+		t.Errorf("decoded %v", err)
+	}
+	for _, bad := range []string{"", "{}", `{"runs":[{"n":512,"o":0,"x":-1}]}`, `{"runs":[{"n":600,"o":-1,"x":-1}]}`, `{"runs":[{"n":512,"o":-1,"x":-1,"f":9}]}`} {
+		if _, err := Decode([]byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
+
+// TestLease walks through renewals: a hold never outlasts the lease on a slower clock, nothing is
+// granted before the lease is proved, and what was lost must be proved anew.
+func TestLease(t *testing.T) {
+	const s = time.Second
+	l := Lease{Length: 4 * s}
+	l.Renewed(10*s, false)
+	if l.Hold(11*s, 10*s) != 0 {
+		t.Error("granted before the proof")
+	}
+	l.Prove()
+	if hold := l.Hold(11*s, 10*s); hold <= 2*s || 11*s+Stretch(hold) > 14*s {
+		t.Errorf("hold %v", hold)
+	}
+	if l.Hold(11*s, s) != s {
+		t.Error("above the limit")
+	}
+	if l.Hold(14*s, 10*s) != 0 || l.Valid(14*s) {
+		t.Error("granted after the lease")
+	}
+	l.Renewed(20*s, true)
+	if l.Hold(21*s, 10*s) == 0 {
+		t.Error("an own write that nobody replaced continues the lease")
+	}
+	l.Renewed(22*s, false)
+	if l.Hold(22*s, 10*s) != 0 {
+		t.Error("granted after a revocation without a proof")
+	}
+	l.Prove()
+	l.Lost()
+	if l.Hold(23*s, 10*s) != 0 || l.Valid(23*s) {
+		t.Error("granted after a loss")
+	}
+}
+
+// TestWatchOutlastsTheLease dates a lease by when its version was seen, never by an older one.
+func TestWatchOutlastsTheLease(t *testing.T) {
+	var w Watch
+	w.Observe(5, 10*time.Second)
+	w.Observe(5, 12*time.Second)
+	w.Observe(4, 13*time.Second)
+	if w.Lapsed(14*time.Second, 4*time.Second) || !w.Lapsed(14200*time.Millisecond, 4*time.Second) {
+		t.Errorf("seen at %v", w.Seen)
+	}
+}
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,6 +100,8 @@
 	ownership *ownership.Ownership
 	pools     []*h1.Pool
 	servers   servers
+	stopAsked chan struct{}
+	stopOnce  sync.Once
 	// settingsText is the settings file as last read.
 	settingsText []byte
 }
@@ -113,7 +116,7 @@
 		}
 	}
 	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})).With("node", s.Node.Name)
-	d := &Daemon{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry()}
+	d := &Daemon{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry(), stopAsked: make(chan struct{})}
 	raw := objectstore.New(s.Store.URL, objectstore.Options{PollWait: pollWait, Separate: []string{"nodes", "tables"}})
 	watching := client.New(raw, client.Options{
 		CallsPerSecond: storeCalls, Burst: storeBurst, AttemptTimeout: time.Second, PollTimeout: pollWait + pollMargin,
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -31,7 +31,9 @@
 				d.reload("signal")
 				continue
 			}
-			return d.stop(ctx, s)
+			return d.stop(ctx, s.String())
+		case <-d.stopAsked:
+			return d.stop(ctx, "call")
 		case <-look.C:
 			d.reload("file")
 		case <-ctx.Done():
@@ -43,9 +45,12 @@
 // settingsTime is the time between two looks at the settings file.
 const settingsTime = 5 * time.Second
 
-func (d *Daemon) stop(ctx context.Context, s os.Signal) error {
+// Stop asks for a graceful stop, as SIGTERM does.
+func (d *Daemon) Stop() { d.stopOnce.Do(func() { close(d.stopAsked) }) }
+
+func (d *Daemon) stop(ctx context.Context, cause string) error {
 	began := time.Now()
-	d.log.Info("stop begins", "signal", s.String())
+	d.log.Info("stop begins", "cause", cause)
 	d.servers.leave()
 	d.ownership.Stop()
 	ctx, cancel := context.WithTimeout(ctx, max(leaveTime, d.settings.Bounds.StopSeconds.Duration()-stopMargin))
--- /dev/null
+++ b/standin/sidecar/sidecar_test.go
@@ -0,0 +1,306 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/node/sidecar"
+	"github.com/auburnrelay/auburnrelay/platform/objectstore"
+	"github.com/auburnrelay/auburnrelay/standin/store"
+)
+
+const settingsText = `
+[node]
+name = "%s"
+region = "r"
+failure_domain = "z"
+service = "%s"
+memory_mb = 100
+[listen]
+callers = "%s"
+peers = "%s"
+target = "%s"
+ready = "%s"
+admin = "%s"
+[store]
+url = "%s"
+[target]
+heartbeat_seconds = 0.2
+[bounds]
+drain_seconds = 2
+stop_seconds = 6
+hold_max_seconds = 10
+retry_ratio = 0.2
+retry_slack = 58
+retry_window_seconds = 10
+`
+
+// configText has a keyed service k and a shared one s; version is given by Sprintf.
+const configText = `{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":1000000,"header-timeout-s":3,"idle-timeout-s":15},
+"listeners":[{"host":"a.example","rules":[
+{"name":"book","kind":"non_idempotent","slo-s":0.5,"priority":1,"match":{"path-prefix":"/book/"},"action":{"service":"k","timeout-s":2,"attempts":2}},
+{"name":"look","kind":"idempotent","slo-s":0.5,"priority":2,"match":{"path-prefix":"/look/"},"action":{"service":"k","timeout-s":2,"attempts":2}},
+{"name":"read","kind":"idempotent","slo-s":0.5,"priority":2,"match":{"path-prefix":"/read/"},"action":{"service":"s","timeout-s":2,"attempts":2}}]}],
+"clusters":[{"name":"k","health-path":"/healthz","max-conns":110,"sharded":true},{"name":"s","health-path":"/healthz","max-conns":110}]}`
+
+// scene is a small deployment in one process.
+type scene struct {
+	t        *testing.T
+	storeURL string
+	runs     *runs
+	nodes    []*node
+	lastID   atomic.Int64
+}
+
+type node struct {
+	name    string
+	callers string
+	ready   string
+	daemon  *sidecar.Daemon
+	target  *target
+	kill    context.CancelFunc
+	ended   chan error
+}
+
+func newScene(t *testing.T, services ...string) *scene {
+	t.Helper()
+	server := httptest.NewServer(store.New(store.Options{}))
+	t.Cleanup(server.Close)
+	s := &scene{t: t, storeURL: server.URL, runs: newRuns()}
+	s.configure(1)
+	for i, service := range services {
+		s.addNode(fmt.Sprintf("vm-%d", i+1), service)
+	}
+	return s
+}
+
+// configure writes the operator's configuration.
+func (s *scene) configure(version int) {
+	s.t.Helper()
+	object := objectstore.Object{Meta: objectstore.Meta{Name: "main"}, Spec: json.RawMessage(fmt.Sprintf(configText, version))}
+	body, err := json.Marshal(object)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	method, path := http.MethodPut, "/objects/config/main"
+	if version == 1 {
+		method, path = http.MethodPost, "/objects/config"
+	}
+	request, _ := http.NewRequest(method, s.storeURL+path, strings.NewReader(string(body)))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil || response.StatusCode != http.StatusOK {
+		s.t.Fatalf("configure: %v, %v", response, err)
+	}
+	response.Body.Close()
+}
+
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+func (s *scene) addNode(name, service string) *node {
+	s.t.Helper()
+	at := freeAddresses(s.t, 5)
+	text := fmt.Sprintf(settingsText, name, service, at[0], at[1], at[2], at[3], at[4], s.storeURL)
+	settings, err := sidecar.ParseSettings([]byte(text))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	daemon, err := sidecar.New(settings, io.Discard)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{name: name, callers: at[0], ready: at[3], daemon: daemon, kill: cancel, ended: make(chan error, 1)}
+	go func() { n.ended <- daemon.Run(ctx) }()
+	s.t.Cleanup(cancel)
+	n.target = &target{
+		t: s.t, id: "i-" + name, service: service, keyed: service == "k", control: at[2], address: "127.0.0.1:0",
+		work: 5 * time.Millisecond, runs: s.runs,
+	}
+	n.target.start()
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// send sends one request and returns its status, zero for none, and its body.
+func (s *scene) send(n *node, method, path string, key int) (int, string) {
+	id := fmt.Sprintf("id-%d", s.lastID.Add(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	request, _ := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, nil)
+	request.Host = "a.example"
+	request.Close = true
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Timeout-Ms", "1500")
+	if key >= 0 {
+		request.Header.Set("X-Shard-Key", fmt.Sprint(key))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	if response.StatusCode == http.StatusOK && response.Header.Get("X-Attempt-Id") != id {
+		s.t.Errorf("request %s got the answer of %s", id, response.Header.Get("X-Attempt-Id"))
+	}
+	return response.StatusCode, string(text)
+}
+
+// awaitServed waits until keys all over the space are served by every node.
+func (s *scene) awaitServed(within time.Duration, nodes ...*node) time.Duration {
+	s.t.Helper()
+	began := time.Now()
+	for _, n := range nodes {
+		for key := 0; key < 65536; key += 4099 {
+			for status := 0; status != http.StatusOK; {
+				if status, _ = s.send(n, http.MethodGet, "/look/x", key); time.Since(began) > within {
+					s.t.Fatalf("key %d is not served by %s after %v: status %d", key, n.name, within, status)
+				}
+			}
+		}
+	}
+	return time.Since(began)
+}
+
+// check reports what the targets saw that breaks a promise.
+func (s *scene) check() {
+	s.t.Helper()
+	s.runs.mu.Lock()
+	defer s.runs.mu.Unlock()
+	for _, f := range s.runs.faults {
+		s.t.Error(f)
+	}
+}
+
+// TestWholePath serves keyed and shared requests through every node.
+func TestWholePath(t *testing.T) {
+	s := newScene(t, "k", "k", "k", "s", "s")
+	s.awaitServed(15*time.Second, s.nodes...)
+	for i := range 100 {
+		n := s.nodes[i%len(s.nodes)]
+		if status, text := s.send(n, http.MethodPost, "/book/x", i*655); status != http.StatusOK || !strings.HasSuffix(text, " /book/x") {
+			t.Errorf("booking %d: status %d, %s", i, status, text)
+		}
+		if status, text := s.send(n, http.MethodGet, "/read/y", -1); status != http.StatusOK {
+			t.Errorf("read %d: status %d, %s", i, status, text)
+		}
+	}
+	if status, _ := s.send(s.nodes[0], http.MethodGet, "/none/", -1); status != http.StatusNotFound {
+		t.Errorf("no route: status %d", status)
+	}
+	s.check()
+}
+
+// TestStopCutsNothing stops a node while it serves long requests: each that was sent before is
+// answered, and new ones are taken until callers have left.
+func TestStopCutsNothing(t *testing.T) {
+	s := newScene(t, "k", "k", "s", "s")
+	s.awaitServed(15*time.Second, s.nodes...)
+	for _, n := range s.nodes {
+		n.target.work = 700 * time.Millisecond
+	}
+	stopping := s.nodes[0]
+	var group sync.WaitGroup
+	send := func() {
+		group.Go(func() {
+			if status, text := s.send(stopping, http.MethodGet, "/read/x", -1); status != http.StatusOK {
+				t.Errorf("status %d, %s", status, text)
+			}
+		})
+	}
+	send()
+	time.Sleep(100 * time.Millisecond)
+	stopping.daemon.Stop()
+	for range 20 {
+		send()
+		time.Sleep(110 * time.Millisecond)
+	}
+	if response, err := http.Get("http://" + stopping.ready + "/readyz"); err == nil {
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			t.Error("a stopping node says that it is ready")
+		}
+	}
+	group.Wait()
+	select {
+	case err := <-stopping.ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(8 * time.Second):
+		t.Error("the node does not end")
+	}
+	s.check()
+}
+
+// TestLostMachine loses a node and its target without a word: its keys are served again when the
+// lease has lapsed, and never by two.
+func TestLostMachine(t *testing.T) {
+	s := newScene(t, "k", "k", "k")
+	s.awaitServed(15*time.Second, s.nodes...)
+	lost := s.nodes[1]
+	lost.kill()
+	lost.target.cancel()
+	_ = lost.target.server.Close()
+	took := s.awaitServed(10*time.Second, s.nodes[0], s.nodes[2])
+	t.Logf("served again after %v", took)
+	s.check()
+}
+
+// TestCrashedTarget ends a target while its node lives: the keys are served by the others at
+// once, and its next life gets keys with higher tokens.
+func TestCrashedTarget(t *testing.T) {
+	s := newScene(t, "k", "k")
+	s.awaitServed(15*time.Second, s.nodes...)
+	crashed := s.nodes[1].target
+	crashed.stop()
+	took := s.awaitServed(5*time.Second, s.nodes...)
+	t.Logf("served again after %v", took)
+	crashed.start()
+	s.awaitServed(10*time.Second, s.nodes...)
+	s.check()
+}
+
+// TestDrainingTargetHandsOver takes all keys from a target that leaves, within the time to drain.
+func TestDrainingTargetHandsOver(t *testing.T) {
+	s := newScene(t, "k", "k", "k")
+	s.awaitServed(15*time.Second, s.nodes...)
+	leaving := s.nodes[2].target
+	leaving.mu.Lock()
+	leaving.draining = true
+	leaving.mu.Unlock()
+	time.Sleep(2500 * time.Millisecond)
+	leaving.mu.Lock()
+	held := len(leaving.holds)
+	leaving.mu.Unlock()
+	if held != 0 {
+		t.Errorf("a draining target holds %d ranges after the time to drain", held)
+	}
+	s.awaitServed(time.Second, s.nodes...)
+	s.check()
+}
