Fit grants into an answer; reach the store through other nodes

Three machines cut off from the store lost their leases for 12 s, and routed by what they knew before. Ruled out: leases of the two targets' nodes (valid throughout). Change: 256 slices, at most 150 rows and 24 tokens in an answer, tokens levelled when an owner's rows do not fit; what a target does not report is not sent to it. node/storelink passes store calls on through a node that the store answers.

--- a/core/holding/grants.go
+++ b/core/holding/grants.go
@@ -44,29 +44,89 @@
 	Handover string
 }
 
-// Grants returns what the owner shall hold, neighbouring slices of one grant joined. A handover
-// token is sent until the target reports that it holds the slice.
+const (
+	// MaxRows is the number of grants in one answer to a heartbeat: the platform takes 4 KiB, a
+	// row has at most 24 bytes without a handover token, and a token adds 16.
+	MaxRows = 150
+	// MaxHandovers is the number of rows with a token in one answer.
+	MaxHandovers = 24
+)
+
+// Grants returns what the owner shall hold, neighbouring slices of one grant joined. What the
+// target holds already comes first; of the rest as much as fits, and what does not is granted
+// with the next heartbeats. A handover token is sent until the target reports that it holds the
+// slice.
 func (t *Table) Grants(owner Owner, held []Held) []Grant {
-	var grants []Grant
+	var kept, fresh []Grant
 	for i, s := range t.Slices {
 		if s.Owner < 0 || s.Next >= 0 || t.Owners[s.Owner] != owner {
 			continue
 		}
-		from, to := i*SliceKeys, (i+1)*SliceKeys-1
-		g := Grant{From: from, To: to, Fence: s.Fence, Handover: s.Handover}
-		if g.Handover != "" && holds(held, from, to, s.Fence) {
+		g := Grant{From: i * SliceKeys, To: (i+1)*SliceKeys - 1, Fence: s.Fence, Handover: s.Handover}
+		if holds(held, g.From, g.To, s.Fence) {
 			g.Handover = ""
+			kept = join(kept, g)
+		} else {
+			fresh = join(fresh, g)
 		}
-		if n := len(grants); n > 0 && grants[n-1].To+1 == from && grants[n-1].Fence == g.Fence &&
-			grants[n-1].Handover == g.Handover {
-			grants[n-1].To = to
-			continue
+	}
+	grants, tokens := kept, 0
+	for _, g := range fresh {
+		if g.Handover != "" {
+			tokens++
+		}
+		if len(grants) >= MaxRows || tokens > MaxHandovers {
+			break
 		}
 		grants = append(grants, g)
 	}
 	return grants
 }
 
+// join appends a grant, to the last one if it continues it.
+func join(grants []Grant, g Grant) []Grant {
+	if n := len(grants); n > 0 && grants[n-1].To+1 == g.From && grants[n-1].Fence == g.Fence &&
+		grants[n-1].Handover == g.Handover {
+		grants[n-1].To = g.To
+		return grants
+	}
+	return append(grants, g)
+}
+
+// rows returns the number of grants that the owner's slices make.
+func (t *Table) rows(owner Owner) int {
+	rows, last := 0, -1
+	for i, s := range t.Slices {
+		if s.Owner < 0 || t.Owners[s.Owner] != owner {
+			continue
+		}
+		if last < 0 || last != i-1 || t.Slices[last].Fence != s.Fence {
+			rows++
+		}
+		last = i
+	}
+	return rows
+}
+
+// Level gives the slices of an owner whose grants do not fit into one answer a common token, so
+// that neighbours join. It reports whether anything changed.
+func (t *Table) Level(candidates []Candidate) bool {
+	changed := false
+	for _, c := range candidates {
+		if t.rows(c.Owner) <= MaxRows {
+			continue
+		}
+		for i := range t.Slices {
+			if s := &t.Slices[i]; s.Owner >= 0 && t.Owners[s.Owner] == c.Owner {
+				s.Fence, s.Handover = t.Fence+1, ""
+			}
+		}
+		changed = true
+	}
+	t.settle(changed)
+	return changed
+}
+
 func holds(held []Held, from, to int, fence int64) bool {
 	for _, h := range held {
 		if h.From <= from && to <= h.To && h.Fence == fence {
@@ -100,3 +160,8 @@
 	}
 	return ready
 }
+
+// Holds reports whether the target holds or works on any key of the slice.
+func (r *Report) Holds(slice int) bool {
+	return touches(r.Held, slice*SliceKeys, (slice+1)*SliceKeys-1)
+}
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -234,3 +234,49 @@
 		t.Errorf("seen at %v", w.Seen)
 	}
 }
+
+// TestGrantsFitIntoAnAnswer takes slices from many owners to few: an answer keeps what the target
+// holds, takes on no more than fits, and in the end everything is granted.
+func TestGrantsFitIntoAnAnswer(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b", "c", "d", "e")
+	table.Assign(all)
+	for left := len(all) - 1; left > 0; left-- {
+		gone := all[left]
+		all = all[:left]
+		table.Move(append(all, Candidate{Owner: gone.Owner, Leaving: true}))
+		for i, s := range table.Slices {
+			if s.Next >= 0 {
+				table.Release(i, "0123456789abcdef")
+			}
+		}
+		for table.Level(all) {
+			continue
+		}
+		granted := 0
+		for _, c := range all {
+			var held []Held
+			for range 20 {
+				grants := table.Grants(c.Owner, held)
+				tokens, kept := 0, map[int]bool{}
+				held = held[:0:0]
+				for _, g := range grants {
+					if g.Handover != "" {
+						tokens++
+					}
+					kept[g.From] = true
+					held = append(held, Held{From: g.From, To: g.To, Fence: g.Fence})
+				}
+				if len(grants) > MaxRows || tokens > MaxHandovers {
+					t.Fatalf("%d targets: %d rows, %d tokens", left, len(grants), tokens)
+				}
+			}
+			for _, h := range held {
+				granted += (h.To - h.From + 1) / SliceKeys
+			}
+		}
+		if granted != Slices {
+			t.Errorf("%d targets: %d of %d slices granted", left, granted, Slices)
+		}
+	}
+}
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -120,7 +120,7 @@
 // Needs reports whether Assign or Move would change the table.
 func (t *Table) Needs(candidates []Candidate) bool {
 	c := t.Clone()
-	return c.Assign(candidates) || c.Move(candidates)
+	return c.Assign(candidates) || c.Move(candidates) || c.Level(candidates)
 }
 
 func isLeaving(o Owner, candidates []Candidate) bool {
--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -23,9 +23,9 @@
 	// KeyMax is the largest key.
 	KeyMax = 65535
 	// Slices is the number of slices of a service. Neighbouring slices go to different targets,
-	// which spreads a busy range; the grants of a target must fit into an answer of 4 KiB, at
-	// about 20 bytes a row.
-	Slices = 512
+	// which spreads a busy range; a target among two holds 128 rows, which must fit into one
+	// answer (MaxRows).
+	Slices = 256
 	// SliceKeys is the number of keys of a slice.
 	SliceKeys = (KeyMax + 1) / Slices
 )
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -171,6 +171,9 @@
 	writeResult(w, r.Method, result)
 }
 
+// IsRequest reports whether the headers are those of a request between nodes.
+func IsRequest(h http.Header) bool { return h.Get(headerNode) != "" }
+
 func idOf(r *relay.Request) string {
 	if r == nil {
 		return ""
--- a/node/ownership/act.go
+++ b/node/ownership/act.go
@@ -157,7 +157,7 @@
 }
 
 func (c *change) because(changed bool, reason string) {
-	if changed {
+	if changed && !slices.Contains(c.reasons, reason) {
 		c.reasons = append(c.reasons, reason)
 	}
 }
@@ -240,6 +240,7 @@
 	}
 	c.because(c.table.Assign(candidates), "assigned")
 	c.because(c.table.Move(candidates), "moved")
+	c.because(c.table.Level(candidates), "tokens levelled")
 }
 
 // planDelay is how long this node leaves a need to others.
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -182,8 +182,10 @@
 	if l.isLapsed(now) {
 		return outcome.ReasonLeaseLapsed
 	}
-	// Until an answer leaves the slice out, the target holds it also while it is to move.
-	if l.granted[slice] == 0 || l.granted[slice] != l.answered {
+	// Until an answer leaves the slice out, the target holds it also while it is to move. What the
+	// target has not reported since is taken as granted only while the answer can still arrive.
+	if l.granted[slice] == 0 || l.granted[slice] != l.answered ||
+		!l.report.Holds(slice) && now-l.answered > acceptTime {
 		return outcome.ReasonMoving
 	}
 	return outcome.ReasonNone
@@ -221,3 +223,17 @@
 	}
 	return s
 }
+
+// Others returns the addresses of the other nodes that are not stopping, whether their leases
+// run or not: a node that is cut off from the store cannot tell.
+func (o *Ownership) Others() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var addresses []string
+	for name, p := range o.peers {
+		if name != o.cfg.Self.Name && !p.entry.Stopping {
+			addresses = append(addresses, p.entry.Address)
+		}
+	}
+	return addresses
+}
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/auburnrelay/auburnrelay/node/ingress"
 	"github.com/auburnrelay/auburnrelay/node/logsink"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
+	"github.com/auburnrelay/auburnrelay/node/storelink"
 	"github.com/auburnrelay/auburnrelay/objects/client"
 	"github.com/auburnrelay/auburnrelay/platform"
 	"github.com/auburnrelay/auburnrelay/platform/objectstore"
@@ -84,7 +85,7 @@
 // storeFace is the store as the ownership uses it: single calls without retries, since it
 // decides itself what a failed call means, and a watch that resumes.
 type storeFace struct {
-	*objectstore.Store
+	*storelink.Store
 	*watcher
 }
 
@@ -98,6 +99,8 @@
 	registry  *prometheus.Registry
 	config    *configuration
 	ownership *ownership.Ownership
+	store     *storelink.Store
+	peerPool  *h1.Pool
 	pools     []*h1.Pool
 	servers   servers
 	stopAsked chan struct{}
@@ -118,7 +121,9 @@
 	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})).With("node", s.Node.Name)
 	d := &Daemon{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry(), stopAsked: make(chan struct{})}
 	raw := objectstore.New(s.Store.URL, objectstore.Options{PollWait: pollWait, Separate: []string{"nodes", "tables"}})
-	watching := client.New(raw, client.Options{
+	d.peerPool = h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: peerIdle, Silence: silenceTime, MaxConns: peerConns})
+	d.store = storelink.New(raw, d.peerPool, func() []string { return d.ownership.Others() }, log.With("part", "store"))
+	watching := client.New(d.store, client.Options{
 		CallsPerSecond: storeCalls, Burst: storeBurst, AttemptTimeout: time.Second, PollTimeout: pollWait + pollMargin,
 		MaxBackoff: watchBackoff, Registerer: d.registry,
 	})
@@ -132,7 +137,7 @@
 		Clock:   bootclock.Now,
 		IsKeyed: d.config.isKeyed,
 		Log:     log.With("part", "ownership"),
-	}, storeFace{raw, &watcher{watching}})
+	}, storeFace{d.store, &watcher{watching}})
 	return d, d.provision()
 }
 
@@ -149,19 +154,29 @@
 func (d *Daemon) provision() error {
 	codec := platform.Headers{}
 	targetPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: targetIdle, Silence: silenceTime, MaxConns: targetConns})
-	peerPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: peerIdle, Silence: silenceTime, MaxConns: peerConns})
-	d.pools = []*h1.Pool{targetPool, peerPool}
+	d.pools = []*h1.Pool{targetPool, d.peerPool}
 	g := guard.New(d.ownership, targetPool, codec, d.log.With("part", "guard"))
 	policy := retry.DefaultPolicy()
 	policy.Ratio = d.settings.Bounds.RetryRatio * retryPart
 	policy.Burst = max(1, d.settings.Bounds.RetrySlack*retryPart/retryNodes)
 	dispatcher := ingress.NewDispatcher(ingress.Parts{
-		View: d.ownership.View, Local: g.Serve, Peers: hop.NewClient(peerPool), Retry: policy,
+		View: d.ownership.View, Local: g.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy,
 		Region: d.settings.Node.Region, Log: d.log.With("part", "dispatch"),
 	})
 	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service, d.log.With("part", "ingress"))
 	peers := hop.NewServer(d.settings.Node.Name, codec, g.Serve, d.log.With("part", "hop"))
-	return d.servers.open(d, callers, peers)
+	return d.servers.open(d, callers, d.peerHandler(peers))
+}
+
+// peerHandler serves other nodes: requests for the local target, and calls of the store.
+func (d *Daemon) peerHandler(requests *hop.Server) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == storelink.Path && !hop.IsRequest(r.Header) {
+			d.store.ServeHTTP(w, r)
+			return
+		}
+		requests.ServeHTTP(w, r)
+	})
 }
 
 // Run serves until the context ends, a part fails or a signal asks for a stop.
--- /dev/null
+++ b/node/storelink/protocol.go
@@ -0,0 +1,167 @@
+package storelink
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/objects"
+)
+
+// Path is where a node takes store calls of other nodes.
+const Path = "/auburnrelay/store"
+
+const (
+	// askTime bounds a call through another node, except for the wait of a poll.
+	askTime = 400 * time.Millisecond
+	// maxMessageBytes bounds a message: a page of the store in base64.
+	maxMessageBytes = 8 << 20
+)
+
+// operation names a call.
+type operation string
+
+const (
+	opGet       operation = "get"
+	opList      operation = "list"
+	opListStale operation = "list-stale"
+	opPut       operation = "put"
+	opDelete    operation = "delete"
+	opPoll      operation = "poll"
+)
+
+// message is a call as one node passes it to another.
+type message struct {
+	Op operation `json:"op"`
+	// Key is the key or, in listings and polls, the prefix.
+	Key     string          `json:"key"`
+	Value   []byte          `json:"value,omitempty"`
+	Version objects.Version `json:"version,omitempty"`
+	WriteID string          `json:"write_id,omitempty"`
+}
+
+// answer is the end of a call.
+type answer struct {
+	Object  objects.Object  `json:"object"`
+	Listing objects.Listing `json:"listing"`
+	Batch   objects.Batch   `json:"batch"`
+	Version objects.Version `json:"version"`
+	// Error names the error; empty for none.
+	Error string `json:"error,omitempty"`
+}
+
+// errorNames maps the errors that a call may end with to their names.
+var errorNames = map[string]error{
+	"not-found":   objects.ErrNotFound,
+	"conflict":    objects.ErrConflict,
+	"unavailable": objects.ErrUnavailable,
+	"unknown":     objects.ErrUnknownOutcome,
+	"too-large":   objects.ErrTooLarge,
+}
+
+func nameOf(err error) string {
+	for _, name := range []string{"unknown", "not-found", "conflict", "too-large", "unavailable"} {
+		if errors.Is(err, errorNames[name]) {
+			return name
+		}
+	}
+	return "unavailable"
+}
+
+// ask makes a call through the node at the address.
+func (s *Store) ask(ctx context.Context, address string, m message) (answer, error) {
+	if m.Op != opPoll {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, askTime)
+		defer cancel()
+	}
+	body, err := json.Marshal(m)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "encode a store call")
+	}
+	request := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: Path}, Host: address, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	// A call that was sent and is not answered may have taken effect, if it is a write.
+	doubt := objects.ErrUnavailable
+	if m.Op == opPut || m.Op == opDelete {
+		doubt = objects.ErrUnknownOutcome
+	}
+	response, err := s.pool.Do(ctx, h1.Call{Address: address, Request: request})
+	if errors.Is(err, h1.ErrNotSent) {
+		return answer{}, errors.Mark(err, objects.ErrUnavailable)
+	}
+	if err != nil {
+		return answer{}, errors.Mark(err, doubt)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	var a answer
+	if err == nil {
+		err = json.Unmarshal(text, &a)
+	}
+	if err != nil || response.StatusCode != http.StatusOK {
+		return answer{}, errors.Mark(errors.Newf("node %s: status %d: %v", address, response.StatusCode, err), doubt)
+	}
+	if a.Error == "" {
+		return a, nil
+	}
+	known, ok := errorNames[a.Error]
+	if !ok {
+		known = doubt
+	}
+	return answer{}, errors.Wrapf(known, "through node %s", address)
+}
+
+// ServeHTTP takes a store call of another node.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var m message
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&m); err != nil {
+		http.Error(w, "malformed store call", http.StatusBadRequest)
+		return
+	}
+	a := answer{Error: "unavailable"}
+	if s.IsDirect() {
+		var err error
+		if a, err = s.serve(r.Context(), m); err != nil {
+			a = answer{Error: nameOf(err)}
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write is a node that no longer waits; it asks again.
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+func (s *Store) serve(ctx context.Context, m message) (a answer, err error) {
+	if m.Op != opPoll {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, directTime)
+		defer cancel()
+	}
+	switch m.Op {
+	case opGet:
+		a.Object, err = s.direct.Get(ctx, m.Key)
+	case opList:
+		a.Listing, err = s.direct.List(ctx, m.Key)
+	case opListStale:
+		a.Listing, err = s.direct.ListStale(ctx, m.Key)
+	case opPut:
+		a.Version, err = s.direct.Put(ctx, m.Key, m.Value, m.Version, m.WriteID)
+	case opDelete:
+		err = s.direct.Delete(ctx, m.Key, m.Version)
+	case opPoll:
+		a.Batch, err = s.direct.Poll(ctx, m.Key, m.Version)
+	default:
+		err = errors.Newf("unknown store call %q", m.Op)
+	}
+	return a, err
+}
--- a/standin/sidecar/target_test.go
+++ b/standin/sidecar/target_test.go
@@ -11,8 +11,13 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/holding"
 )
 
+// keysOfSlice is the number of keys that a target releases at a time.
+const keysOfSlice = holding.SliceKeys
+
 // beatTime is the time between two heartbeats of a target.
 const beatTime = 200 * time.Millisecond
 
@@ -53,17 +58,17 @@
 	// by counts the runs of a request's id.
 	by map[string]int
 	// holder names the target that holds the range that begins with a key, and until when.
-	holder map[int]holding
+	holder map[int]holder
 	faults []string
 }
 
-type holding struct {
+type holder struct {
 	target string
 	until  time.Time
 	fence  int64
 }
 
-func newRuns() *runs { return &runs{by: map[string]int{}, holder: map[int]holding{}} }
+func newRuns() *runs { return &runs{by: map[string]int{}, holder: map[int]holder{}} }
 
 func (r *runs) fault(format string, args ...any) {
 	r.faults = append(r.faults, fmt.Sprintf(format, args...))
@@ -181,16 +186,16 @@
 		return false
 	}
 	for from, h := range x.holds {
-		for key := from; key <= h.to; key += 128 {
+		for key := from; key <= h.to; key += keysOfSlice {
 			if !covered(key) {
-				x.freed = append(x.freed, [3]any{key, key + 127, fmt.Sprintf("%s-%d", x.id, key)})
+				x.freed = append(x.freed, [3]any{key, key + keysOfSlice - 1, fmt.Sprintf("%s-%d", x.id, key)})
 				delete(x.runs.holder, key)
 				released = true
 			}
 		}
 	}
 	for from, h := range now {
-		for key := from; key <= h.to; key += 128 {
+		for key := from; key <= h.to; key += keysOfSlice {
 			other, taken := x.runs.holder[key]
 			if taken && other.target != x.id && other.until.After(time.Now()) {
 				x.runs.fault("keys from %d are held by %s and %s", key, other.target, x.id)
@@ -198,7 +203,7 @@
 			if other.target != x.id && h.fence <= other.fence && taken {
 				x.runs.fault("the token of the keys from %d fell from %d to %d", key, other.fence, h.fence)
 			}
-			x.runs.holder[key] = holding{target: x.id, until: until, fence: h.fence}
+			x.runs.holder[key] = holder{target: x.id, until: until, fence: h.fence}
 		}
 	}
 	x.holds, x.until = now, until
