Move keys by measured load; date releases by the last grant

Cause of the worth: targets differ in speed by more than two and hot ranges overload one of them, while keys were divided by number. Ruled out: stale or reordered heartbeats (refused by sequence), the lease. Change: nodes tell rate, capacity and hot slices in their entries, the planner moves slices of targets above their share; a release needs a heartbeat after the last grant; a new process counts grants of its former one for a lease's time; buried owners are given nothing.

--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -1,16 +1,24 @@
 package holding
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Candidate is a live target that may own slices.
 type Candidate struct {
 	Owner Owner
 	// Leaving targets are given nothing, and their slices move away.
 	Leaving bool
+	// Capacity is the number of requests a second that the target can serve; zero if that is not
+	// known.
+	Capacity float64
+	// Rate is the number of requests a second that ask for the target's slices, served or not.
+	Rate float64
+	// Hot are the rates of the slices with far more requests than others.
+	Hot map[int]float64
 }
 
-// imbalance is the number of slices by which a target may exceed the mean before some move:
-// a move costs the keys a pause, and the mean is seldom whole.
-const imbalance = 4
-
 // Free takes the slices of an owner that can no longer run them. A slice on its way to a next
 // owner goes there; the others are left without an owner. It reports whether anything changed.
 //
@@ -36,6 +44,37 @@
 	return changed
 }
 
+// Bury remembers an owner whose target has ended.
+func (t *Table) Bury(gone Owner) {
+	if t.isGone(gone) {
+		return
+	}
+	t.Gone = append(t.Gone, gone)
+	if len(t.Gone) > maxGone {
+		t.Gone = t.Gone[1:]
+	}
+}
+
+// Revive forgets that an owner's target had ended. It reports whether anything changed.
+func (t *Table) Revive(back Owner) bool {
+	for i, o := range t.Gone {
+		if o == back {
+			t.Gone = append(t.Gone[:i:i], t.Gone[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) isGone(o Owner) bool {
+	for _, gone := range t.Gone {
+		if gone == o {
+			return true
+		}
+	}
+	return false
+}
+
 // Release gives a slice that its owner has released to its next owner, with the handover token
 // of the release, which may be empty.
 func (t *Table) Release(slice int, handover string) {
@@ -59,100 +98,114 @@
 	}
 }
 
-// Assign gives the slices without an owner to the candidates that have fewest, neighbours to
-// different ones. It reports whether anything changed.
+// Assign gives the slices without an owner to the candidates with the least load for their
+// capacity, neighbours to different ones. It reports whether anything changed.
 func (t *Table) Assign(candidates []Candidate) bool {
-	load := t.loads(candidates)
+	b := t.balance(candidates)
 	changed := false
 	for i := range t.Slices {
 		if t.Slices[i].Owner >= 0 {
 			continue
 		}
-		owner, ok := least(load, candidates)
-		if !ok {
+		to := b.least(-1, b.rate(i))
+		if to < 0 {
 			return false
 		}
-		t.give(&t.Slices[i], t.index(owner), "")
-		load[owner]++
+		t.give(&t.Slices[i], t.index(b.targets[to].Owner), "")
+		b.add(to, b.rate(i))
 		changed = true
 	}
 	t.settle(changed)
 	return changed
 }
 
-// Move marks slices to move: all slices of leaving targets, and so many of the others that no
-// target exceeds the mean by much. It reports whether anything changed.
-func (t *Table) Move(candidates []Candidate) bool {
-	load := t.loads(candidates)
-	staying := 0
-	for _, c := range candidates {
-		if !c.Leaving {
-			staying++
+// Evacuate marks all slices of leaving targets to move. It reports whether anything changed.
+func (t *Table) Evacuate(candidates []Candidate) bool {
+	b := t.balance(candidates)
+	changed := false
+	for i := range t.Slices {
+		s := &t.Slices[i]
+		if s.Owner < 0 || s.Next >= 0 || !isLeaving(t.Owners[s.Owner], candidates) {
+			continue
+		}
+		if to := b.least(-1, b.rate(i)); to >= 0 {
+			s.Next = t.index(b.targets[to].Owner)
+			b.add(to, b.rate(i))
+			changed = true
 		}
 	}
-	if staying == 0 {
+	return changed
+}
+
+// Move marks so many slices to move that no target's load exceeds its share by much; nothing
+// while slices are on their way. It reports whether anything changed.
+func (t *Table) Move(candidates []Candidate) bool {
+	if t.IsMoving() {
 		return false
 	}
-	mean := Slices / staying
+	b := t.balance(candidates)
 	changed := false
-	for i := range t.Slices {
-		s := &t.Slices[i]
-		if s.Owner < 0 || s.Next >= 0 {
-			continue
+	short := b.isAnyShort()
+	for from := range b.targets {
+		if short || b.isOver(from) {
+			changed = t.relieve(b, from) || changed
 		}
-		owner := t.Owners[s.Owner]
-		next, ok := least(load, candidates)
-		if !ok || next == owner {
-			continue
+	}
+	return changed
+}
+
+// relieve marks slices of a target to move until its load is its share, busy ones first.
+func (t *Table) relieve(b *balance, from int) bool {
+	changed := false
+	for _, i := range t.busiest(b, from) {
+		if !b.isAbove(from) {
+			break
 		}
-		leaving := isLeaving(owner, candidates)
-		if !leaving && (load[owner] <= mean+imbalance || load[next] >= mean) {
+		to := b.least(from, b.rate(i))
+		if to < 0 || b.loadWith(to, b.rate(i)) >= b.loadWith(from, 0) {
 			continue
 		}
-		s.Next = t.index(next)
-		load[owner]--
-		load[next]++
+		t.Slices[i].Next = t.index(b.targets[to].Owner)
+		b.add(from, -b.rate(i))
+		b.add(to, b.rate(i))
 		changed = true
 	}
 	return changed
 }
 
-// Needs reports whether Assign or Move would change the table.
-func (t *Table) Needs(candidates []Candidate) bool {
-	c := t.Clone()
-	return c.Assign(candidates) || c.Move(candidates) || c.Level(candidates)
-}
-
-func isLeaving(o Owner, candidates []Candidate) bool {
-	for _, c := range candidates {
-		if c.Owner == o {
-			return c.Leaving
+// busiest returns the slices of a target in the order of their rates.
+func (t *Table) busiest(b *balance, from int) []int {
+	var list []int
+	for i, s := range t.Slices {
+		if s.Owner >= 0 && t.Owners[s.Owner] == b.targets[from].Owner {
+			list = append(list, i)
 		}
 	}
-	return false
+	slices.SortStableFunc(list, func(x, y int) int { return cmp.Compare(b.rate(y), b.rate(x)) })
+	return list
 }
 
-// loads counts the slices of each owner, moving ones at the next owner.
-func (t *Table) loads(candidates []Candidate) map[Owner]int {
-	load := make(map[Owner]int, len(candidates))
+// IsMoving reports whether slices are on their way to a next owner.
+func (t *Table) IsMoving() bool {
 	for _, s := range t.Slices {
-		switch {
-		case s.Next >= 0:
-			load[t.Owners[s.Next]]++
-		case s.Owner >= 0:
-			load[t.Owners[s.Owner]]++
+		if s.Next >= 0 {
+			return true
 		}
 	}
-	return load
+	return false
 }
 
-// least returns the staying candidate with the fewest slices; the first of several.
-func least(load map[Owner]int, candidates []Candidate) (Owner, bool) {
-	best, found := Owner{}, false
+// Needs reports whether Assign, Evacuate, Level or, with balances, Move would change the table.
+func (t *Table) Needs(candidates []Candidate, balances bool) bool {
+	c := t.Clone()
+	return c.Assign(candidates) || c.Evacuate(candidates) || balances && c.Move(candidates) || c.Level(candidates)
+}
+
+func isLeaving(o Owner, candidates []Candidate) bool {
 	for _, c := range candidates {
-		if !c.Leaving && (!found || load[c.Owner] < load[best]) {
-			best, found = c.Owner, true
+		if c.Owner == o {
+			return c.Leaving
 		}
 	}
-	return best, found
+	return false
 }
--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -62,8 +62,14 @@
 	Fence  int64
 	Owners []Owner
 	Slices [Slices]Slice
+	// Gone are owners whose targets have ended lately: nodes that do not know it yet must give
+	// them nothing.
+	Gone []Owner
 }
 
+// maxGone bounds the owners remembered as gone.
+const maxGone = 16
+
 // NewTable returns a table whose slices have no owner.
 func NewTable(service string) *Table {
 	t := &Table{Service: service}
@@ -80,6 +86,7 @@
 func (t *Table) Clone() *Table {
 	c := *t
 	c.Owners = append([]Owner(nil), t.Owners...)
+	c.Gone = append([]Owner(nil), t.Gone...)
 	return &c
 }
 
@@ -141,6 +148,7 @@
 	Service string  `json:"service"`
 	Fence   int64   `json:"fence"`
 	Owners  []Owner `json:"owners"`
+	Gone    []Owner `json:"gone,omitempty"`
 	Runs    []run   `json:"runs"`
 }
 
@@ -155,7 +163,7 @@
 // Encode returns the record of the table.
 func (t *Table) Encode() ([]byte, error) {
 	t.compact()
-	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners}
+	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners, Gone: t.Gone}
 	for i, s := range t.Slices {
 		if i > 0 && s == t.Slices[i-1] {
 			r.Runs[len(r.Runs)-1].Count++
@@ -173,7 +181,7 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode the table"), ErrTable)
 	}
-	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners}
+	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners, Gone: r.Gone}
 	at := 0
 	for _, run := range r.Runs {
 		bad := run.Count < 1 || at+run.Count > Slices || run.Owner < -1 || run.Owner >= len(r.Owners) ||
--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/core/exchange"
+	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/turn"
 	"github.com/auburnrelay/auburnrelay/node/h1"
@@ -53,6 +54,8 @@
 	lastID  uint64
 	waiting map[uint64]chan turn.Verdict
 	alarm   *time.Timer
+	meter   holding.Meter
+	slots   int
 }
 
 // New returns a guard of the gate's target.
@@ -71,6 +74,7 @@
 	if reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
+	g.arrived(r, local.Slots)
 	if reason := g.await(ctx, r, local.Slots); reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
@@ -79,7 +83,11 @@
 		g.finish()
 		return relay.NotRun(reason)
 	}
+	began := time.Now()
 	result := g.call(ctx, r, local)
+	if result.Outcome == outcome.Answered {
+		g.served(time.Since(began))
+	}
 	result.Target = local.ID
 	if result.Answer != nil && result.Answer.Rest != nil {
 		result.Answer.Rest = relay.OnClose(result.Answer.Rest, g.finish)
@@ -89,6 +97,28 @@
 	return result
 }
 
+// Load returns what was measured of the target since the last reading.
+func (g *Guard) Load() holding.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.meter.Read(g.elapsed(), g.slots)
+}
+
+func (g *Guard) arrived(r *relay.Request, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slots = slots
+	if r.HasKey {
+		g.meter.Arrived(r.Key)
+	}
+}
+
+func (g *Guard) served(took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.meter.Served(took)
+}
+
 // call sends the request to the target and classifies what comes back.
 func (g *Guard) call(ctx context.Context, r *relay.Request, local ownership.Local) relay.Result {
 	left := r.Left()
--- a/node/ownership/act.go
+++ b/node/ownership/act.go
@@ -175,9 +175,13 @@
 			c.because(true, "released")
 		}
 	}
+	if l := o.life; l != nil && l.report.Service == service && !l.isGone(now, o.cfg.Timing.Silence) {
+		c.because(c.table.Revive(l.owner(o.cfg.Self.Name)), "target back")
+	}
 	freed := false
 	for _, owner := range t.Owners {
 		if owner.Node == o.cfg.Self.Name && o.isOver(owner, now) {
+			c.table.Bury(owner)
 			freed = c.table.Free(owner) || freed
 		}
 	}
@@ -220,7 +224,11 @@
 func (o *Ownership) planOthers(c *change, service string, now time.Duration) {
 	lost := o.lostOwners(c.table, now)
 	candidates := o.candidates(service, now)
-	if len(lost) == 0 && !c.table.Needs(candidates) {
+	if c.table.IsMoving() {
+		o.movedAt[service] = now
+	}
+	balances := now-o.movedAt[service] >= o.cfg.Timing.Settle
+	if len(lost) == 0 && !c.table.Needs(candidates, balances) {
 		delete(o.planSince, service)
 		return
 	}
@@ -239,7 +247,10 @@
 		}
 	}
 	c.because(c.table.Assign(candidates), "assigned")
-	c.because(c.table.Move(candidates), "moved")
+	c.because(c.table.Evacuate(candidates), "leaving targets relieved")
+	if balances {
+		c.because(c.table.Move(candidates), "moved by load")
+	}
 	c.because(c.table.Level(candidates), "tokens levelled")
 }
 
@@ -294,7 +305,10 @@
 			continue
 		}
 		if p.entry.Target != nil && p.entry.Target.Service == service && p.isLive(now) {
-			found = append(found, holding.Candidate{Owner: p.entry.owner(), Leaving: p.entry.Target.Draining})
+			t := p.entry.Target
+			found = append(found, holding.Candidate{
+				Owner: p.entry.owner(), Leaving: t.Draining, Capacity: t.Load.Capacity, Rate: t.Load.Rate, Hot: t.Load.Hot,
+			})
 		}
 	}
 	slices.SortFunc(found, func(a, b holding.Candidate) int { return strings.Compare(a.Owner.Node, b.Owner.Node) })
--- a/node/ownership/entry.go
+++ b/node/ownership/entry.go
@@ -46,6 +46,8 @@
 	Slots   int    `json:"slots"`
 	// Draining tells that the target leaves and takes no new work.
 	Draining bool `json:"draining,omitempty"`
+	// Load is what the node measured of the target.
+	Load holding.Load `json:"load"`
 }
 
 func (e *Entry) owner() holding.Owner {
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -114,6 +114,7 @@
 
 // nextEntry returns the entry to write and the version that it replaces.
 func (o *Ownership) nextEntry() (Entry, objects.Version) {
+	load := o.cfg.Load()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cfg.Self.Renewal++
@@ -122,7 +123,7 @@
 	if l := o.life; l != nil && !l.isGone(o.cfg.Clock(), o.cfg.Timing.Silence) {
 		entry.Target = &Target{
 			ID: l.report.ID, Born: l.report.Born, Service: l.report.Service, Slots: l.report.Slots,
-			Draining: l.isLeaving(),
+			Draining: l.isLeaving(), Load: load,
 		}
 	}
 	return entry, o.version
--- a/node/ownership/life.go
+++ b/node/ownership/life.go
@@ -6,18 +6,16 @@
 	"github.com/auburnrelay/auburnrelay/core/holding"
 )
 
-// acceptTime is how long after its heartbeat a target accepts the answer.
-const acceptTime = 1200 * time.Millisecond
-
 // life is one life of the target beside this node.
 type life struct {
 	report holding.Report
 	heard  time.Duration
 	// holdUntil is when the last grant has lapsed on the target's clock.
 	holdUntil time.Duration
-	// granted is when an answer last named the slice; answered is when the last one was given.
-	granted  [holding.Slices]time.Duration
-	answered time.Duration
+	// granted is when an answer last named the slice, and since when all answers did; answered is
+	// when the last one was given.
+	granted, since [holding.Slices]time.Duration
+	answered       time.Duration
 	// freed are the handover tokens of released slices.
 	freed map[int]string
 	// leftAt is when the target said that it leaves; zero before.
@@ -87,7 +85,11 @@
 		current.dead = current.dead || current.report.ID == r.ID
 		o.former = append(o.former, current)
 	}
-	o.life = &life{freed: make(map[int]string), report: r, heard: now}
+	o.life = &life{
+		freed: make(map[int]string), report: r, heard: now,
+		// A former process of this node may have granted keys for as long as its lease lasted.
+		holdUntil: o.started + holding.Stretch(o.cfg.Timing.Lease),
+	}
 	if r.Draining {
 		o.life.leftAt = now
 	}
@@ -118,9 +120,13 @@
 		return nil, 0
 	}
 	grants := t.Grants(l.owner(o.cfg.Self.Name), l.report.Held)
+	former := l.answered
 	l.answered = now
 	for _, g := range grants {
 		for slice := holding.SliceOf(g.From); slice <= holding.SliceOf(g.To); slice++ {
+			if l.granted[slice] != former || former == 0 {
+				l.since[slice] = now
+			}
 			l.granted[slice] = now
 			delete(l.freed, slice)
 		}
@@ -135,9 +141,9 @@
 	return t != nil && len(o.releasable(t, l, o.cfg.Clock())) > 0
 }
 
-// releasable returns the moving slices that the target has released, with their tokens. A slice
-// that the target does not report may have been granted by an answer that is still on its way,
-// until it is too old to be accepted.
+// releasable returns the moving slices that the target has released, with their tokens. Only a
+// heartbeat that came after the last answer which named the slice can show that it is released:
+// what the target reported before that answer says nothing of it.
 func (o *Ownership) releasable(t *table, l *life, now time.Duration) map[int]string {
 	held := l.report.Held
 	if l.isLapsed(now) {
@@ -145,8 +151,7 @@
 	}
 	ready := t.Releasable(l.owner(o.cfg.Self.Name), held, l.freed)
 	for slice := range ready {
-		_, told := l.freed[slice]
-		if !told && !l.isLapsed(now) && now-l.granted[slice] < acceptTime {
+		if !l.isLapsed(now) && l.heard <= l.granted[slice] {
 			delete(ready, slice)
 		}
 	}
--- /dev/null
+++ b/node/ownership/life_test.go
@@ -0,0 +1,167 @@
+package ownership
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/holding"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+const second = time.Second
+
+// rig is one node with a lease, a table and a clock that the test sets.
+type rig struct {
+	*Ownership
+	now   time.Duration
+	owner holding.Owner
+	seq   int64
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{now: 100 * second, owner: holding.Owner{Node: "vm-1", Target: "i-1", Born: 5}}
+	r.Ownership = New(Config{
+		Self:    Entry{Name: "vm-1", Address: "a", LeaseMillis: 4000},
+		Timing:  Timing{Lease: 4 * second, HoldMax: 10 * second, Silence: 6 * second, DrainGrace: 1600 * time.Millisecond},
+		Clock:   func() time.Duration { return r.now },
+		IsKeyed: func(string) bool { return true },
+		Load:    func() holding.Load { return holding.Load{} },
+		Log:     slog.New(slog.DiscardHandler),
+	}, nil)
+	r.renewLease()
+	r.lease.Prove()
+	table := holding.NewTable("s")
+	table.Assign([]holding.Candidate{{Owner: r.owner}})
+	r.setTable(table)
+	return r
+}
+
+func (r *rig) renewLease() { r.lease.Renewed(r.now, true) }
+
+func (r *rig) setTable(t *holding.Table) {
+	next := &table{Table: t, version: 1}
+	if old := r.tables["s"]; old != nil {
+		next.version = old.version + 1
+	}
+	r.tables["s"] = next
+}
+
+// beat sends a heartbeat that reports the ranges as held.
+func (r *rig) beat(held ...holding.Held) []holding.Grant {
+	r.seq++
+	grants, _ := r.Heartbeat(holding.Report{ID: "i-1", Address: "x", Service: "s", Slots: 6, Sequence: r.seq, Born: 5, Held: held})
+	return grants
+}
+
+var all = holding.Held{From: 0, To: holding.KeyMax, Fence: 1}
+
+// move marks a slice to go to another target.
+func (r *rig) move(slice int) {
+	t := r.tables["s"].Clone()
+	t.Owners = append(t.Owners, holding.Owner{Node: "vm-2", Target: "i-2", Born: 6})
+	t.Slices[slice].Next = len(t.Owners) - 1
+	r.setTable(t)
+}
+
+func (r *rig) ready() int { return len(r.releasable(r.tables["s"], r.life, r.now)) }
+
+// TestReleaseNeedsALaterHeartbeat moves a slice right after its first grant: until the target has
+// sent another heartbeat, nothing says that it does not hold the slice, however long that takes.
+func TestReleaseNeedsALaterHeartbeat(t *testing.T) {
+	r := newRig(t)
+	r.beat()
+	r.move(3)
+	r.now += 1500 * time.Millisecond
+	r.renewLease()
+	if n := r.ready(); n != 0 {
+		t.Fatalf("%d slices released before a heartbeat", n)
+	}
+	r.beat(all)
+	if n := r.ready(); n != 0 {
+		t.Fatalf("%d slices released while the target reports them", n)
+	}
+	r.now += second / 10
+	r.beat(holding.Held{From: 0, To: 3*holding.SliceKeys - 1, Fence: 1}, holding.Held{From: 3*holding.SliceKeys + 7, To: 3*holding.SliceKeys + 7, Fence: 1})
+	if n := r.ready(); n != 0 {
+		t.Fatalf("%d slices released while the target works on one key of them", n)
+	}
+	r.now += second / 10
+	r.beat(holding.Held{From: 0, To: 3*holding.SliceKeys - 1, Fence: 1})
+	if n := r.ready(); n != 1 {
+		t.Errorf("%d slices released", n)
+	}
+}
+
+// TestAdmitFollowsGrants sends keyed requests before, between and after heartbeats.
+func TestAdmitFollowsGrants(t *testing.T) {
+	r := newRig(t)
+	key := 3 * holding.SliceKeys
+	want := func(what string, reason outcome.Reason) {
+		t.Helper()
+		if _, got := r.Admit("s", true, key); got != reason {
+			t.Errorf("%s: got %q, want %q", what, got, reason)
+		}
+	}
+	want("before a target", outcome.ReasonTargetAbsent)
+	r.beat()
+	want("granted by the first answer", outcome.ReasonNone)
+	r.now += 1500 * time.Millisecond
+	r.renewLease()
+	want("before the next heartbeat", outcome.ReasonNone)
+	r.beat(all)
+	r.move(3)
+	want("to move, not left out yet", outcome.ReasonNone)
+	r.now += second
+	r.beat(all)
+	want("left out by an answer", outcome.ReasonMoving)
+	key = 9 * holding.SliceKeys
+	want("another slice", outcome.ReasonNone)
+	r.now += second / 2
+	r.beat()
+	want("not taken by the target", outcome.ReasonMoving)
+	r.now += 9 * second
+	want("after the grant", outcome.ReasonLeaseLapsed)
+}
+
+// TestReportsOfOthersChangeNothing brings heartbeats of an earlier life, out of order, and after
+// the target's end.
+func TestReportsOfOthersChangeNothing(t *testing.T) {
+	r := newRig(t)
+	r.beat()
+	r.beat(all)
+	for _, report := range []holding.Report{
+		{ID: "i-0", Service: "s", Slots: 1, Sequence: 9, Born: 4},
+		{ID: "i-1", Service: "s", Slots: 1, Sequence: 1, Born: 5},
+	} {
+		if grants, hold := r.Heartbeat(report); grants != nil || hold != 0 {
+			t.Errorf("report %+v is answered with grants", report)
+		}
+	}
+	if r.life.report.ID != "i-1" || r.life.report.Sequence != 2 {
+		t.Errorf("now at %+v", r.life.report)
+	}
+	r.Leave("i-0", 4)
+	r.TargetGone("i-1", 4)
+	if r.life.left || r.life.dead {
+		t.Error("the word on another life ends this one")
+	}
+}
+
+// TestRestartedNodeKnowsFormerGrants starts a process beside a target that holds keys from its
+// former process: they are not released before the target says so.
+func TestRestartedNodeKnowsFormerGrants(t *testing.T) {
+	r := newRig(t)
+	r.move(3)
+	r.lease.Lost()
+	r.beat(all)
+	r.now += second
+	if n := r.ready(); n != 0 {
+		t.Fatalf("%d slices released while the target holds them", n)
+	}
+	r.beat()
+	if n := r.ready(); n != 1 {
+		t.Errorf("%d slices released", n)
+	}
+}
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -45,6 +45,9 @@
 	Act time.Duration
 	// Rank is how much longer each further node waits before it plans.
 	Rank time.Duration
+	// Settle is the time between two plans by load: what was measured before a move does not
+	// show its effect.
+	Settle time.Duration
 	// Gather is how long a new service's targets are awaited before its keys are first divided.
 	Gather time.Duration
 	// HoldMax is the longest grant that a target accepts.
@@ -64,7 +67,9 @@
 	Clock func() time.Duration
 	// IsKeyed reports whether a service is divided by key; false while that is not known.
 	IsKeyed func(service string) bool
-	Log     *slog.Logger
+	// Load measures the target since the last call.
+	Load func() holding.Load
+	Log  *slog.Logger
 }
 
 // Ownership is one node's part. It is safe for concurrent use.
@@ -86,8 +91,10 @@
 	former []*life
 	// planSince is when a need to plan was first seen, by service.
 	planSince map[string]time.Duration
-	stopping  bool
-	started   time.Duration
+	// movedAt is when slices of a service were last seen on their way.
+	movedAt  map[string]time.Duration
+	stopping bool
+	started  time.Duration
 }
 
 // table is the table of a service as last read or written.
@@ -105,6 +112,7 @@
 		peers:     make(map[string]*peer),
 		tables:    make(map[string]*table),
 		planSince: make(map[string]time.Duration),
+		movedAt:   make(map[string]time.Duration),
 		started:   cfg.Clock(),
 	}
 	o.view.Store(&View{services: map[string]*serviceView{}})
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -182,10 +182,9 @@
 	if l.isLapsed(now) {
 		return outcome.ReasonLeaseLapsed
 	}
-	// Until an answer leaves the slice out, the target holds it also while it is to move. What the
-	// target has not reported since is taken as granted only while the answer can still arrive.
-	if l.granted[slice] == 0 || l.granted[slice] != l.answered ||
-		!l.report.Holds(slice) && now-l.answered > acceptTime {
+	// Until an answer leaves the slice out, the target holds it also while it is to move. A
+	// heartbeat after the first answer that named it must show that the target took it.
+	if l.granted[slice] == 0 || l.granted[slice] != l.answered || l.heard > l.since[slice] && !l.report.Holds(slice) {
 		return outcome.ReasonMoving
 	}
 	return outcome.ReasonNone
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
 	"github.com/auburnrelay/auburnrelay/node/guard"
@@ -46,6 +47,8 @@
 	// gatherTime is a little more than two heartbeats: all targets of a service that starts as a
 	// whole have reported by then, and its keys are divided once.
 	gatherTime = 2500 * time.Millisecond
+	// settleTime is a renewal and a look, after which the rates show what a move did.
+	settleTime = 2500 * time.Millisecond
 	// silentBeats is the number of heartbeats that a target may miss.
 	silentBeats = 4
 	// drainMargin is kept from the time in which work may reach a leaving target, for what is
@@ -99,6 +102,7 @@
 	registry  *prometheus.Registry
 	config    *configuration
 	ownership *ownership.Ownership
+	guard     *guard.Guard
 	store     *storelink.Store
 	peerPool  *h1.Pool
 	pools     []*h1.Pool
@@ -136,6 +140,7 @@
 		Timing:  d.timing(),
 		Clock:   bootclock.Now,
 		IsKeyed: d.config.isKeyed,
+		Load:    func() holding.Load { return d.guard.Load() },
 		Log:     log.With("part", "ownership"),
 	}, storeFace{d.store, &watcher{watching}})
 	return d, d.provision()
@@ -144,7 +149,7 @@
 func (d *Daemon) timing() ownership.Timing {
 	b := d.settings.Bounds
 	return ownership.Timing{
-		Lease: leaseTime, Renew: renewTime, Look: lookTime, Act: actTime, Rank: rankTime, Gather: gatherTime,
+		Lease: leaseTime, Renew: renewTime, Look: lookTime, Act: actTime, Rank: rankTime, Gather: gatherTime, Settle: settleTime,
 		HoldMax: b.HoldMaxSeconds.Duration(), Silence: silentBeats * d.settings.Target.HeartbeatSeconds.Duration(),
 		DrainGrace: max(0, b.DrainSeconds.Duration()-drainMargin),
 	}
@@ -155,16 +160,16 @@
 	codec := platform.Headers{}
 	targetPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: targetIdle, Silence: silenceTime, MaxConns: targetConns})
 	d.pools = []*h1.Pool{targetPool, d.peerPool}
-	g := guard.New(d.ownership, targetPool, codec, d.log.With("part", "guard"))
+	d.guard = guard.New(d.ownership, targetPool, codec, d.log.With("part", "guard"))
 	policy := retry.DefaultPolicy()
 	policy.Ratio = d.settings.Bounds.RetryRatio * retryPart
 	policy.Burst = max(1, d.settings.Bounds.RetrySlack*retryPart/retryNodes)
 	dispatcher := ingress.NewDispatcher(ingress.Parts{
-		View: d.ownership.View, Local: g.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy,
+		View: d.ownership.View, Local: d.guard.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy,
 		Region: d.settings.Node.Region, Log: d.log.With("part", "dispatch"),
 	})
 	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service, d.log.With("part", "ingress"))
-	peers := hop.NewServer(d.settings.Node.Name, codec, g.Serve, d.log.With("part", "hop"))
+	peers := hop.NewServer(d.settings.Node.Name, codec, d.guard.Serve, d.log.With("part", "hop"))
 	return d.servers.open(d, callers, d.peerHandler(peers))
 }
 
--- a/node/storelink/storelink.go
+++ b/node/storelink/storelink.go
@@ -120,7 +120,7 @@
 			value, err = direct(ctx)
 			return err
 		})
-		if !errors.Is(err, objects.ErrUnavailable) || ctx.Err() != nil {
+		if !errors.Is(err, objects.ErrUnavailable) || ctx.Err() != nil || s.IsDirect() {
 			return value, err
 		}
 	}
@@ -170,8 +170,9 @@
 		defer cancel()
 	}
 	err := do(callCtx)
-	// A call that its caller gave up, or a poll that another call's failure ended, shows nothing.
-	if ctx.Err() == nil && (op != opPoll || callCtx.Err() == nil) {
+	// A call that its caller gave up shows nothing, and a failed poll only that its connection
+	// broke: the store may drop watches while it answers other calls.
+	if ctx.Err() == nil && (op != opPoll || err == nil) {
 		s.learn(err)
 	}
 	return err
