--- a/core/holding/balance.go
+++ b/core/holding/balance.go
@@ -9,6 +9,11 @@
 	// shortage is the share below the mean at which a target is given slices by all others: one
 	// that has just joined.
 	shortage = 0.4
+	// strained and relieved are the shares of a target's capacity above which its slices move, and
+	// down to which: a move leaves a slice unserved for about half a heartbeat, which only a target
+	// that would refuse requests is worth.
+	strained = 0.85
+	relieved = 0.7
 	// imbalance is the number of slices by which a target may exceed its share in any case.
 	imbalance = 4
 	// restRate is the rate of a slice beside its requests, so that slices without requests are
@@ -136,14 +141,20 @@
 // isOver reports whether a target's load exceeds its share by so much that slices shall move.
 func (b *balance) isOver(target int) bool {
 	share := b.mean * b.capacity[target]
-	return b.load[target] > share*(1+excess) && b.load[target] > share+imbalance*b.slice
+	return b.load[target] > share*(1+excess) && b.load[target] > share+imbalance*b.slice &&
+		b.load[target] > strained*b.targets[target].Capacity
 }
 
-// isAbove reports whether a target has not given enough away yet.
+// isAbove reports whether a target's load exceeds its share.
 func (b *balance) isAbove(target int) bool {
 	return b.load[target] > b.mean*b.capacity[target]*(1+settled)
 }
 
+// isStrained reports whether a target has not given enough away to serve the rest with ease.
+func (b *balance) isStrained(target int) bool {
+	return b.load[target] > relieved*b.targets[target].Capacity
+}
+
 // isAnyShort reports whether a target has far less than its share.
 func (b *balance) isAnyShort() bool {
 	for i, load := range b.load {
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -306,14 +306,19 @@
 	table := NewTable("s")
 	all := owners("a", "b", "c")
 	table.Assign(all)
+	perSlice := 0.5
 	measured := func() []Candidate {
 		list := append([]Candidate(nil), all...)
 		for i, capacity := range []float64{60, 100, 140} {
 			list[i].Capacity = capacity
-			list[i].Rate = float64(count(table)[list[i].Owner.Node]) // one request a second for each slice
+			list[i].Rate = perSlice * float64(count(table)[list[i].Owner.Node])
 		}
 		return list
 	}
+	if settleMoves(t, table, measured) != 0 {
+		t.Error("slices move though no target is strained")
+	}
+	perSlice = 1.1
 	moved := settleMoves(t, table, measured)
 	got := count(table)
 	for i, want := range []float64{0.2, 0.333, 0.467} {
@@ -339,6 +344,7 @@
 	measured := func() []Candidate {
 		list := append([]Candidate(nil), all...)
 		for i := range list {
+			list[i].Capacity = 80
 			list[i].Hot = map[int]float64{}
 			for slice := range table.Slices {
 				o, _ := table.OwnerOf(slice)
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -148,17 +148,18 @@
 	short := b.isAnyShort()
 	for from := range b.targets {
 		if short || b.isOver(from) {
-			changed = t.relieve(b, from) || changed
+			changed = t.relieve(b, from, short) || changed
 		}
 	}
 	return changed
 }
 
-// relieve marks slices of a target to move until its load is its share, busy ones first.
-func (t *Table) relieve(b *balance, from int) bool {
+// relieve marks slices of a target to move, busy ones first, until its load is its share or, if
+// that is not asked for evenly, until the target is not strained any more.
+func (t *Table) relieve(b *balance, from int, evenly bool) bool {
 	changed := false
 	for _, i := range t.busiest(b, from) {
-		if !b.isAbove(from) {
+		if !b.isAbove(from) || !evenly && !b.isStrained(from) {
 			break
 		}
 		to := b.least(from, b.rate(i))
