--- a/core/holding/balance.go
+++ b/core/holding/balance.go
@@ -6,14 +6,11 @@
 	excess = 0.2
 	// settled is the share above the mean at which a target has given enough away.
 	settled = 0.03
-	// shortage is the share below the mean at which a target is given slices by all others: one
-	// that has just joined.
-	shortage = 0.4
 	// strained and relieved are the shares of a target's capacity above which its slices move, and
 	// down to which: a move leaves a slice unserved for about half a heartbeat, which only a target
 	// that would refuse requests is worth.
-	strained = 0.85
-	relieved = 0.7
+	strained = 1.0
+	relieved = 0.85
 	// imbalance is the number of slices by which a target may exceed its share in any case.
 	imbalance = 4
 	// restRate is the rate of a slice beside its requests, so that slices without requests are
@@ -155,12 +152,27 @@
 	return b.load[target] > relieved*b.targets[target].Capacity
 }
 
-// isAnyShort reports whether a target has far less than its share.
-func (b *balance) isAnyShort() bool {
-	for i, load := range b.load {
-		if load < b.mean*b.capacity[i]*(1-shortage) {
+// isAnyEmpty reports whether a target has no slice: one that has just joined.
+func (t *Table) isAnyEmpty(b *balance) bool {
+	for _, c := range b.targets {
+		if t.count(c.Owner) == 0 {
 			return true
 		}
 	}
 	return false
 }
+
+// count returns the number of slices that an owner has or is to have.
+func (t *Table) count(o Owner) int {
+	n := 0
+	for _, s := range t.Slices {
+		at := s.Owner
+		if s.Next >= 0 {
+			at = s.Next
+		}
+		if at >= 0 && t.Owners[at] == o {
+			n++
+		}
+	}
+	return n
+}
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -145,10 +145,10 @@
 	}
 	b := t.balance(candidates)
 	changed := false
-	short := b.isAnyShort()
+	joins := t.isAnyEmpty(b)
 	for from := range b.targets {
-		if short || b.isOver(from) {
-			changed = t.relieve(b, from, short) || changed
+		if joins || b.isOver(from) {
+			changed = t.relieve(b, from, joins) || changed
 		}
 	}
 	return changed
