Refuse requests that crash targets, on all nodes

Found on the way: a call that failed was always taken for cancelled, since its context was ended before its error was read. Change: core/quarantine at the guard, by path, caller and body; suspects travel in the nodes' entries; the reason of a failed call is read before its context ends. Figures: TestRequestThatCrashesTargetsIsRefused fails without either change.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -16,6 +16,7 @@
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/quarantine"
 	"github.com/auburnrelay/auburnrelay/core/turn"
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
@@ -55,6 +56,7 @@
 	waiting map[uint64]chan turn.Verdict
 	alarm   *time.Timer
 	meter   holding.Meter
+	tracker *quarantine.Tracker
 	slots   int
 }
 
@@ -63,6 +65,7 @@
 	g := &Guard{
 		gate: gate, pool: pool, codec: codec, log: log, begin: time.Now(),
 		queue: turn.New(1, roomPerSlot), waiting: make(map[uint64]chan turn.Verdict),
+		tracker: quarantine.New(quarantine.DefaultPolicy()),
 	}
 	g.alarm = time.AfterFunc(time.Hour, g.wake)
 	return g
@@ -83,8 +86,14 @@
 		g.finish()
 		return relay.NotRun(reason)
 	}
+	f, reason := g.suspect(r)
+	if reason != outcome.ReasonNone {
+		g.finish()
+		return relay.NotRun(reason)
+	}
 	began := time.Now()
 	result := g.call(ctx, r, local)
+	g.ended(f, result)
 	if result.Outcome == outcome.Answered {
 		g.served(time.Since(began))
 	}
@@ -137,8 +146,9 @@
 	}
 	response, err := g.pool.Do(ctx, h1.Call{Address: local.Address, Request: out, Match: match})
 	if err != nil {
+		result := g.failed(ctx, r, local, err)
 		cancel()
-		return g.failed(ctx, r, local, err)
+		return result
 	}
 	result := g.take(ctx, r, response)
 	if result.Answer != nil && result.Answer.Rest != nil {
--- /dev/null
+++ b/node/guard/quarantine_test.go
@@ -0,0 +1,115 @@
+package guard
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/exchange"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
+	"github.com/auburnrelay/auburnrelay/node/relay"
+)
+
+// fakeGate admits everything to one address.
+type fakeGate struct{ address string }
+
+func (f fakeGate) Admit(string, bool, int) (ownership.Local, outcome.Reason) {
+	return ownership.Local{ID: "i", Address: f.address, Slots: 4}, outcome.ReasonNone
+}
+
+func (fakeGate) TargetGone(string, int64) {}
+
+// plainCodec reads two headers.
+type plainCodec struct{}
+
+func (plainCodec) Request(http.Header) (exchange.Head, error) { return exchange.Head{}, nil }
+
+func (plainCodec) Deliver(h http.Header, d exchange.Delivery) { h.Set("Target", d.Target) }
+
+func (plainCodec) Verdict(status int, h http.Header) exchange.Verdict {
+	return exchange.Verdict{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: status == http.StatusServiceUnavailable}
+}
+
+func (plainCodec) Refusal(http.Header, string, time.Duration) {}
+
+func newGuard(address string) *Guard {
+	pool := h1.NewPool(h1.Options{DialTimeout: time.Second, IdleTimeout: time.Second, Silence: time.Second, MaxConns: 8})
+	return New(fakeGate{address}, pool, plainCodec{}, slog.New(slog.DiscardHandler))
+}
+
+func request(t *testing.T, id, path, body string) *relay.Request {
+	t.Helper()
+	b, err := relay.ReadBody(nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &relay.Request{
+		Head: exchange.Head{ID: id}, Method: http.MethodGet, Target: path, Host: "a", Header: http.Header{"Id": {id}}, Body: b,
+		Service: "s", CallerService: body, Kind: routing.Idempotent, Objective: time.Second, Deadline: time.Now().Add(2 * time.Second),
+	}
+}
+
+// crashing answers ordinary requests, and breaks off at the path that crashes it.
+func crashing(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/crash" {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "x")
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// TestRequestThatCrashesTargetsIsRefused crashes the targets of two nodes by one request: a third
+// node refuses it, and goes on serving others, the same path of another caller among them.
+func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
+	address := crashing(t)
+	first, second, third := newGuard(address), newGuard(address), newGuard(address)
+	ctx := context.Background()
+	for _, g := range []*Guard{first, second} {
+		if r := g.Serve(ctx, request(t, "1", "/crash", "caller")); r.Outcome != outcome.Unknown {
+			t.Fatalf("got %+v", r)
+		}
+		g.TargetEnded()
+		second.Learn(first.Suspects())
+	}
+	third.Learn(second.Suspects())
+	if r := third.Serve(ctx, request(t, "2", "/crash", "caller")); r.Outcome != outcome.NotRun || r.Reason != outcome.ReasonQuarantined {
+		t.Errorf("after two crashes: %+v", r)
+	}
+	if r := third.Serve(ctx, request(t, "3", "/fine", "caller")); r.Outcome != outcome.Answered {
+		t.Errorf("another request: %+v", r)
+	}
+	if r := third.Serve(ctx, request(t, "4", "/crash", "other")); r.Outcome == outcome.NotRun {
+		t.Errorf("another caller's request: %+v", r)
+	}
+}
+
+// TestOrdinaryRequestsAreCleared suspects a request that was in flight at a crash by chance: once
+// it has ended well, a second crash does not ban it.
+func TestOrdinaryRequestsAreCleared(t *testing.T) {
+	g := newGuard(crashing(t))
+	ctx := context.Background()
+	for range 3 {
+		f, _ := g.suspect(request(t, "1", "/fine", "caller"))
+		g.TargetEnded()
+		g.ended(f, relay.Unknown(outcome.ReasonTargetLost))
+		if r := g.Serve(ctx, request(t, "2", "/fine", "caller")); r.Outcome != outcome.Answered {
+			t.Fatalf("got %+v", r)
+		}
+	}
+}
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -61,8 +61,9 @@
 	setHead(out.Header, r, d)
 	response, err := c.pool.Do(ctx, h1.Call{Address: d.Address, Request: out})
 	if err != nil {
+		result := sendFailed(ctx, err)
 		cancel()
-		return sendFailed(ctx, err)
+		return result
 	}
 	result := readResult(ctx, response)
 	if result.Answer != nil && result.Answer.Rest != nil {
--- a/node/ownership/entry.go
+++ b/node/ownership/entry.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/core/holding"
+	"github.com/auburnrelay/auburnrelay/core/quarantine"
 	"github.com/auburnrelay/auburnrelay/objects"
 )
 
@@ -32,6 +33,8 @@
 	Renewal int64 `json:"renewal"`
 	// Target is the target beside the node; nil if there is none that lives.
 	Target *Target `json:"target,omitempty"`
+	// Suspects are requests that were in flight as targets ended, and bans.
+	Suspects []quarantine.Entry `json:"suspects,omitempty"`
 	// Stopping tells that the node's process is about to end.
 	Stopping bool `json:"stopping,omitempty"`
 	// RevokedBy names the node that ended the lease after it had lapsed.
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -114,12 +114,12 @@
 
 // nextEntry returns the entry to write and the version that it replaces.
 func (o *Ownership) nextEntry() (Entry, objects.Version) {
-	load := o.cfg.Load()
+	load, suspects := o.cfg.Measure.Load(), o.cfg.Measure.Suspects()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cfg.Self.Renewal++
 	entry := o.cfg.Self
-	entry.Stopping = o.stopping
+	entry.Stopping, entry.Suspects = o.stopping, suspects
 	if l := o.life; l != nil && !l.isGone(o.cfg.Clock(), o.cfg.Timing.Silence) {
 		entry.Target = &Target{
 			ID: l.report.ID, Born: l.report.Born, Service: l.report.Service, Slots: l.report.Slots,
@@ -214,5 +214,8 @@
 		o.cfg.Log.Info("node restarted", "node", entry.Name, "incarnation", entry.Incarnation)
 	}
 	p.entry, p.version = entry, version
+	if len(entry.Suspects) > 0 && entry.Name != o.cfg.Self.Name {
+		o.cfg.Measure.Learn(entry.Suspects)
+	}
 	p.watch.Observe(int64(version), now)
 }
--- a/node/ownership/life.go
+++ b/node/ownership/life.go
@@ -82,7 +82,10 @@
 	}
 	if current != nil {
 		// The same id started again: its former life is over. Another id may run beside it.
-		current.dead = current.dead || current.report.ID == r.ID
+		if current.report.ID == r.ID && !current.dead {
+			current.dead = true
+			o.cfg.Measure.TargetEnded()
+		}
 		o.former = append(o.former, current)
 	}
 	o.life = &life{
@@ -188,6 +191,7 @@
 		return
 	}
 	l.dead = true
+	o.cfg.Measure.TargetEnded()
 	o.cfg.Log.Warn("dependency lost", "dependency", "target", "target", id, "reason", "connection refused")
 	o.rebuild(now)
 	signal(o.renew)
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -7,10 +7,19 @@
 
 	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/quarantine"
 )
 
 const second = time.Second
 
+// unmeasured is a target of which nothing is known.
+type unmeasured struct{}
+
+func (unmeasured) Load() holding.Load           { return holding.Load{} }
+func (unmeasured) TargetEnded()                 {}
+func (unmeasured) Suspects() []quarantine.Entry { return nil }
+func (unmeasured) Learn([]quarantine.Entry)     {}
+
 // rig is one node with a lease, a table and a clock that the test sets.
 type rig struct {
 	*Ownership
@@ -27,7 +36,7 @@
 		Timing:  Timing{Lease: 4 * second, HoldMax: 10 * second, Silence: 6 * second, DrainGrace: 1600 * time.Millisecond},
 		Clock:   func() time.Duration { return r.now },
 		IsKeyed: func(string) bool { return true },
-		Load:    func() holding.Load { return holding.Load{} },
+		Measure: unmeasured{},
 		Log:     slog.New(slog.DiscardHandler),
 	}, nil)
 	r.renewLease()
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -12,7 +12,7 @@
 // Any node may plan: the first by name of those that live acts at once, the others after a delay
 // that grows with their rank, and the conditional writes decide between two that act together.
 //
-// Lock order: Ownership.mu is a leaf; no store call is made under it.
+// Lock order: Ownership.mu before those of Measure; no store call is made under it.
 package ownership
 
 import (
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/holding"
+	"github.com/auburnrelay/auburnrelay/core/quarantine"
 	"github.com/auburnrelay/auburnrelay/objects"
 )
 
@@ -58,6 +59,17 @@
 	DrainGrace time.Duration
 }
 
+// Measure is what the guard of the target measures and learns. It must not call the Ownership.
+type Measure interface {
+	// Load measures the target since the last call.
+	Load() holding.Load
+	// TargetEnded tells that the target's process ended without a word.
+	TargetEnded()
+	// Suspects returns the requests that may have ended targets; Learn takes in those of others.
+	Suspects() []quarantine.Entry
+	Learn([]quarantine.Entry)
+}
+
 // Config is what an Ownership is made of.
 type Config struct {
 	// Self is the node's entry as it starts, without a target.
@@ -67,9 +79,9 @@
 	Clock func() time.Duration
 	// IsKeyed reports whether a service is divided by key; false while that is not known.
 	IsKeyed func(service string) bool
-	// Load measures the target since the last call.
-	Load func() holding.Load
-	Log  *slog.Logger
+	// Measure is asked what was measured of the target.
+	Measure Measure
+	Log     *slog.Logger
 }
 
 // Ownership is one node's part. It is safe for concurrent use.
@@ -129,6 +141,9 @@
 	return ctx.Err()
 }
 
+// SetMeasure sets what measures the target; it must be called before Run.
+func (o *Ownership) SetMeasure(m Measure) { o.cfg.Measure = m }
+
 // Stop tells the others that the node's process is about to end.
 func (o *Ownership) Stop() {
 	o.mu.Lock()
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -111,6 +111,9 @@
 	return b, nil
 }
 
+// Memory returns the part of the body that is held in memory.
+func (b *Body) Memory() []byte { return b.memory }
+
 // Replayable reports whether the body can be sent (again).
 func (b *Body) Replayable() bool {
 	b.mu.Lock()
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -16,7 +16,6 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
 	"github.com/auburnrelay/auburnrelay/node/guard"
@@ -140,7 +139,6 @@
 		Timing:  d.timing(),
 		Clock:   bootclock.Now,
 		IsKeyed: d.config.isKeyed,
-		Load:    func() holding.Load { return d.guard.Load() },
 		Log:     log.With("part", "ownership"),
 	}, storeFace{d.store, &watcher{watching}})
 	return d, d.provision()
@@ -161,6 +159,7 @@
 	targetPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: targetIdle, Silence: silenceTime, MaxConns: targetConns})
 	d.pools = []*h1.Pool{targetPool, d.peerPool}
 	d.guard = guard.New(d.ownership, targetPool, codec, d.log.With("part", "guard"))
+	d.ownership.SetMeasure(d.guard)
 	policy := retry.DefaultPolicy()
 	policy.Ratio = d.settings.Bounds.RetryRatio * retryPart
 	policy.Burst = max(1, d.settings.Bounds.RetrySlack*retryPart/retryNodes)
