--- a/core/holding/balance.go
+++ b/core/holding/balance.go
@@ -13,6 +13,9 @@
 	relieved = 0.85
 	// imbalance is the number of slices by which a target may exceed its share in any case.
 	imbalance = 4
+	// fewTargets is the number of targets up to which neighbouring slices are kept together: two
+	// that took turns would each have 256 grants.
+	fewTargets = 2
 	// restRate is the rate of a slice beside its requests, so that slices without requests are
 	// spread as well.
 	restRate = 0.02
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -399,3 +399,34 @@
 		}
 	}
 }
+
+// TestEveryKeyIsGrantedAfterLosses starts with some targets and loses one after the other: the
+// survivors' grants fit into their answers each time.
+func TestEveryKeyIsGrantedAfterLosses(t *testing.T) {
+	for n := 1; n <= 7; n++ {
+		table := NewTable("s")
+		all := owners("a", "b", "c", "d", "e", "f", "g")[:n]
+		table.Assign(all)
+		for left := n; left > 0; left-- {
+			if left < n {
+				table.Free(all[left].Owner)
+				table.Assign(all[:left])
+				table.Level(all[:left])
+			}
+			granted := 0
+			for _, c := range all[:left] {
+				var held []Held
+				for _, g := range table.Grants(c.Owner, nil) {
+					held = append(held, Held{From: g.From, To: g.To, Fence: g.Fence})
+					granted += (g.To - g.From + 1) / SliceKeys
+				}
+				if again := table.Grants(c.Owner, held); len(again) != len(held) {
+					t.Errorf("%d of %d targets: %d grants, then %d", left, n, len(held), len(again))
+				}
+			}
+			if granted != Slices {
+				t.Errorf("%d of %d targets: %d of %d slices granted", left, n, granted, Slices)
+			}
+		}
+	}
+}
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -111,6 +111,7 @@
 		if to < 0 {
 			return false
 		}
+		to = t.neighbour(b, i, to)
 		t.give(&t.Slices[i], t.index(b.targets[to].Owner), "")
 		b.add(to, b.rate(i))
 		changed = true
@@ -119,6 +120,20 @@
 	return changed
 }
 
+// neighbour returns the owner of the slice before i in place of the least loaded target when the
+// targets are so few that their slices have to join to fit into an answer.
+func (t *Table) neighbour(b *balance, i, least int) int {
+	if len(b.targets) > fewTargets || i == 0 || t.Slices[i-1].Owner < 0 {
+		return least
+	}
+	for j, c := range b.targets {
+		if c.Owner == t.Owners[t.Slices[i-1].Owner] && b.loadWith(j, 0) <= b.loadWith(least, 0)+imbalance*b.slice {
+			return j
+		}
+	}
+	return least
+}
+
 // Evacuate marks all slices of leaving targets to move. It reports whether anything changed.
 func (t *Table) Evacuate(candidates []Candidate) bool {
 	b := t.balance(candidates)
