Sum the nodes' counts of crashes; trust a target's word on what it holds

Change: each node tells its own counts and all are added; a slice that its target refuses waits for the next answer.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -16,7 +16,6 @@
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
-	"github.com/auburnrelay/auburnrelay/core/quarantine"
 	"github.com/auburnrelay/auburnrelay/core/turn"
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
@@ -40,6 +39,7 @@
 type Gate interface {
 	Admit(service string, hasKey bool, key int) (ownership.Local, outcome.Reason)
 	TargetGone(id string, born int64)
+	NotHeld(id string, born int64, key int)
 }
 
 // Guard serves requests by the local target. It is safe for concurrent use.
@@ -50,14 +50,14 @@
 	log   *slog.Logger
 	begin time.Time
 
-	mu      sync.Mutex
-	queue   *turn.Queue
-	lastID  uint64
-	waiting map[uint64]chan turn.Verdict
-	alarm   *time.Timer
-	meter   holding.Meter
-	tracker *quarantine.Tracker
-	slots   int
+	mu        sync.Mutex
+	queue     *turn.Queue
+	lastID    uint64
+	waiting   map[uint64]chan turn.Verdict
+	alarm     *time.Timer
+	meter     holding.Meter
+	suspicion suspicion
+	slots     int
 }
 
 // New returns a guard of the gate's target.
@@ -65,7 +65,7 @@
 	g := &Guard{
 		gate: gate, pool: pool, codec: codec, log: log, begin: time.Now(),
 		queue: turn.New(1, roomPerSlot), waiting: make(map[uint64]chan turn.Verdict),
-		tracker: quarantine.New(quarantine.DefaultPolicy()),
+		suspicion: newSuspicion(),
 	}
 	g.alarm = time.AfterFunc(time.Hour, g.wake)
 	return g
@@ -151,6 +151,9 @@
 		return result
 	}
 	result := g.take(ctx, r, response)
+	if r.HasKey && result.Reason == outcome.ReasonFence {
+		g.gate.NotHeld(local.ID, local.Born, r.Key)
+	}
 	if result.Answer != nil && result.Answer.Rest != nil {
 		result.Answer.Rest = relay.OnClose(result.Answer.Rest, cancel)
 	} else {
--- a/node/guard/quarantine_test.go
+++ b/node/guard/quarantine_test.go
@@ -25,6 +25,8 @@
 
 func (fakeGate) TargetGone(string, int64) {}
 
+func (fakeGate) NotHeld(string, int64, int) {}
+
 // plainCodec reads two headers.
 type plainCodec struct{}
 
@@ -85,9 +87,13 @@
 			t.Fatalf("got %+v", r)
 		}
 		g.TargetEnded()
-		second.Learn(first.Suspects())
 	}
-	third.Learn(second.Suspects())
+	third.Learn("first", first.Suspects())
+	third.Learn("first", first.Suspects())
+	if r := third.Serve(ctx, request(t, "1", "/fine", "caller")); r.Outcome != outcome.Answered {
+		t.Fatalf("after one crash: %+v", r)
+	}
+	third.Learn("second", second.Suspects())
 	if r := third.Serve(ctx, request(t, "2", "/crash", "caller")); r.Outcome != outcome.NotRun || r.Reason != outcome.ReasonQuarantined {
 		t.Errorf("after two crashes: %+v", r)
 	}
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -214,8 +214,8 @@
 		o.cfg.Log.Info("node restarted", "node", entry.Name, "incarnation", entry.Incarnation)
 	}
 	p.entry, p.version = entry, version
-	if len(entry.Suspects) > 0 && entry.Name != o.cfg.Self.Name {
-		o.cfg.Measure.Learn(entry.Suspects)
+	if entry.Name != o.cfg.Self.Name {
+		o.cfg.Measure.Learn(entry.Name, entry.Suspects)
 	}
 	p.watch.Observe(int64(version), now)
 }
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -15,10 +15,10 @@
 // unmeasured is a target of which nothing is known.
 type unmeasured struct{}
 
-func (unmeasured) Load() holding.Load           { return holding.Load{} }
-func (unmeasured) TargetEnded()                 {}
-func (unmeasured) Suspects() []quarantine.Entry { return nil }
-func (unmeasured) Learn([]quarantine.Entry)     {}
+func (unmeasured) Load() holding.Load               { return holding.Load{} }
+func (unmeasured) TargetEnded()                     {}
+func (unmeasured) Suspects() []quarantine.Entry     { return nil }
+func (unmeasured) Learn(string, []quarantine.Entry) {}
 
 // rig is one node with a lease, a table and a clock that the test sets.
 type rig struct {
@@ -130,6 +130,14 @@
 	r.now += second / 2
 	r.beat()
 	want("not taken by the target", outcome.ReasonMoving)
+	r.beat(all)
+	want("granted again", outcome.ReasonNone)
+	r.NotHeld("i-1", 4, key)
+	want("refused by an earlier life", outcome.ReasonNone)
+	r.NotHeld("i-1", 5, key)
+	want("refused by the target", outcome.ReasonMoving)
+	r.beat(all)
+	want("granted after the refusal", outcome.ReasonNone)
 	r.now += 9 * second
 	want("after the grant", outcome.ReasonLeaseLapsed)
 }
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -65,9 +65,10 @@
 	Load() holding.Load
 	// TargetEnded tells that the target's process ended without a word.
 	TargetEnded()
-	// Suspects returns the requests that may have ended targets; Learn takes in those of others.
+	// Suspects returns the requests that may have ended this node's targets.
 	Suspects() []quarantine.Entry
-	Learn([]quarantine.Entry)
+	// Learn takes in the suspects of another node.
+	Learn(node string, suspects []quarantine.Entry)
 }
 
 // Config is what an Ownership is made of.
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -190,6 +190,23 @@
 	return outcome.ReasonNone
 }
 
+// NotHeld records that the target refused a request because it does not hold the key: the slice
+// counts as held again when a further answer has granted it.
+func (o *Ownership) NotHeld(id string, born int64, key int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := o.life
+	if l == nil || l.report.ID != id || l.report.Born != born {
+		return
+	}
+	slice := holding.SliceOf(key)
+	if l.granted[slice] != 0 {
+		o.cfg.Log.Warn("slice not held by its target", "target", id, "slice", slice,
+			"granted_ms_ago", (o.cfg.Clock() - l.granted[slice]).Milliseconds())
+	}
+	l.granted[slice] = 0
+}
+
 // Status is what the admin listener shows.
 type Status struct {
 	Node       string           `json:"node"`
