Never call a request not run that may have run; test ingress and store link

Cause: found by TestOneAnswerForEachOutcome: after a send that may have run, a repeatable request with no other target was answered 503, and one whose only target was tried found none. Change: the first doubt stands unless a later send is answered; targets are tried again when no other is left.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -146,7 +146,7 @@
 	}
 	response, err := g.pool.Do(ctx, h1.Call{Address: local.Address, Request: out, Match: match})
 	if err != nil {
-		result := g.failed(ctx, r, local, err)
+		result := g.failed(ctx, local, err)
 		cancel()
 		return result
 	}
@@ -163,7 +163,7 @@
 }
 
 // failed classifies a call without an answer.
-func (g *Guard) failed(ctx context.Context, r *relay.Request, local ownership.Local, err error) relay.Result {
+func (g *Guard) failed(ctx context.Context, local ownership.Local, err error) relay.Result {
 	if errors.Is(err, h1.ErrRefused) {
 		g.gate.TargetGone(local.ID, local.Born)
 	}
--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -188,7 +188,7 @@
 
 func (c *conn) shut() {
 	c.once.Do(func() {
-		_ = c.Conn.Close()
+		_ = c.Close()
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
 		c.pool.hosts[c.address].open--
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -109,6 +109,7 @@
 	stripOwn(h)
 	if end.Outcome != outcome.Answered {
 		_, _ = relay.TakeAnswer(response)
+		_ = response.Body.Close()
 		return relay.Result{End: end, Reached: reached, Target: target}
 	}
 	answer, err := relay.TakeAnswer(response)
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -63,6 +63,8 @@
 	// sends counts the targets that may have received the request; tried names them.
 	sends int
 	tried []string
+	// doubt is the first outcome that leaves open whether the request ran.
+	doubt *relay.Result
 	// holdUntil is when the wait for an owner ends.
 	holdUntil time.Time
 }
@@ -89,14 +91,26 @@
 			attempt.sends++
 			attempt.tried = append(attempt.tried, result.Target)
 		}
+		if result.Outcome == outcome.Unknown && attempt.doubt == nil {
+			attempt.doubt = &result
+		}
 		if !attempt.again(ctx, result, route) {
-			return result
+			return attempt.final(result)
 		}
 		d.parts.Log.Info("request sent again", "id", r.ID, "outcome", result.Outcome.String(), "reason", string(result.Reason),
 			"target", result.Target, "sends", attempt.sends, "left_ms", r.Left().Milliseconds())
 	}
 }
 
+// final returns the outcome of the request from that of its last send: a request that may have run
+// is never said not to have.
+func (a *run) final(last relay.Result) relay.Result {
+	if last.Outcome == outcome.NotRun && a.doubt != nil {
+		return *a.doubt
+	}
+	return last
+}
+
 // endMargin is how much longer than its deadline a request waits for a target's last word.
 const endMargin = 250 * time.Millisecond
 
@@ -178,13 +192,7 @@
 
 // share picks one of the targets of a shared service.
 func (a *run) share(ctx context.Context, targets []ownership.Destination) relay.Result {
-	candidates := make([]balance.Candidate, len(targets))
-	for i, d := range targets {
-		candidates[i] = balance.Candidate{
-			Name: d.Node, Incarnation: hash(d.Target), Near: d.Region == a.parts.Region, Slots: d.Slots,
-			Ready: d.Ready && !slices.Contains(a.tried, d.Target),
-		}
-	}
+	candidates := a.candidates(targets)
 	now := time.Since(a.begin)
 	a.mu.Lock()
 	i, ok := a.picker.Pick(now, candidates, rand.IntN)
@@ -208,6 +216,21 @@
 	return result
 }
 
+// candidates lists the targets to choose from: those that were not tried, or all if there is none.
+func (a *run) candidates(targets []ownership.Destination) []balance.Candidate {
+	fresh := slices.ContainsFunc(targets, func(d ownership.Destination) bool {
+		return d.Ready && !slices.Contains(a.tried, d.Target)
+	})
+	candidates := make([]balance.Candidate, len(targets))
+	for i, d := range targets {
+		candidates[i] = balance.Candidate{
+			Name: d.Node, Incarnation: hash(d.Target), Near: d.Region == a.parts.Region, Slots: d.Slots,
+			Ready: d.Ready && (!fresh || !slices.Contains(a.tried, d.Target)),
+		}
+	}
+	return candidates
+}
+
 func (a *run) send(ctx context.Context, d ownership.Destination) relay.Result {
 	var result relay.Result
 	if d.Local {
--- /dev/null
+++ b/node/ingress/ingress_test.go
@@ -0,0 +1,163 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/exchange"
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/retry"
+	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
+	"github.com/auburnrelay/auburnrelay/node/relay"
+)
+
+// idCodec reads an id and a time.
+type idCodec struct{}
+
+func (idCodec) Request(h http.Header) (exchange.Head, error) {
+	if h.Get("Id") == "" {
+		return exchange.Head{}, exchange.ErrMalformed
+	}
+	return exchange.Head{ID: h.Get("Id"), Wait: 400 * time.Millisecond}, nil
+}
+
+func (idCodec) Deliver(http.Header, exchange.Delivery) {}
+
+func (idCodec) Verdict(int, http.Header) exchange.Verdict { return exchange.Verdict{} }
+
+func (idCodec) Refusal(h http.Header, _ string, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", after.String())
+	}
+}
+
+func answered(status int) relay.Result {
+	return relay.Result{
+		End: outcome.End{Outcome: outcome.Answered}, Reached: true, Target: "i-1",
+		Answer: &relay.Answer{Status: status, Header: http.Header{}, Memory: []byte("whole"), Length: 5},
+	}
+}
+
+func config() *routing.Config {
+	return (&routing.Config{
+		Version: 1,
+		Limits:  routing.Limits{BodyBytes: 100},
+		Routes: []routing.Route{
+			{Name: "once", Host: "a", Prefix: "/once/", Kind: routing.NonIdempotent, Attempts: 3, Parts: []routing.Part{{Service: "s", Weight: 1}}},
+			{Name: "any", Host: "a", Prefix: "/any/", Kind: routing.Idempotent, Attempts: 3, Parts: []routing.Part{{Service: "s", Weight: 1}}},
+		},
+	}).Index()
+}
+
+// shed is a refusal by a target: it did not run, but the target was reached.
+func shed() relay.Result {
+	r := relay.NotRun(outcome.ReasonTargetShed)
+	r.Reached, r.Target = true, "i-1"
+	return r
+}
+
+// TestOneAnswerForEachOutcome gives a request the outcomes of its sends in turn, and checks the
+// answer and the number of sends: a promise that it did not run only when that is proved, and no
+// second send of what may run once.
+func TestOneAnswerForEachOutcome(t *testing.T) {
+	lost := relay.Unknown(outcome.ReasonTargetLost)
+	rows := []struct {
+		name, path string
+		results    []relay.Result
+		status     int
+		sends      int
+	}{
+		{"answered", "/once/1", []relay.Result{answered(200)}, 200, 1},
+		{"the target's own failure", "/once/1", []relay.Result{answered(500)}, 500, 1},
+		{"may have run, once only", "/once/1", []relay.Result{lost, answered(200)}, 502, 1},
+		{"cut answer, once only", "/once/1", []relay.Result{relay.Unknown(outcome.ReasonTruncated), answered(200)}, 502, 1},
+		{"no answer in time", "/once/1", []relay.Result{relay.Unknown(outcome.ReasonDeadline), answered(200)}, 504, 1},
+		{"may have run, repeatable", "/any/1", []relay.Result{lost, answered(200)}, 200, 2},
+		{"repeated no more than allowed", "/any/1", []relay.Result{lost, lost, lost, answered(200)}, 502, 3},
+		{"no owner yet", "/once/1", []relay.Result{relay.NotRun(outcome.ReasonMoving), answered(200)}, 200, 2},
+		{"owner unreachable, then found", "/once/1", []relay.Result{relay.NotRun(outcome.ReasonPeerUnreachable), answered(200)}, 200, 2},
+		{"banned", "/once/1", []relay.Result{relay.NotRun(outcome.ReasonQuarantined), answered(200)}, 503, 1},
+		{"refused by the target, no other", "/once/1", []relay.Result{shed(), answered(200)}, 503, 1},
+		{"queue full", "/any/1", []relay.Result{relay.NotRun(outcome.ReasonShed), answered(200)}, 503, 1},
+	}
+	for _, row := range rows {
+		sends := 0
+		h := newHandler(t, func(context.Context, *relay.Request) relay.Result {
+			sends++
+			return row.results[min(sends, len(row.results))-1]
+		}, config())
+		status, header := serve(h, row.path, "")
+		if status != row.status || sends != row.sends {
+			t.Errorf("%s: status %d after %d sends, want %d after %d", row.name, status, sends, row.status, row.sends)
+		}
+		if (header.Get("Retry-After") != "") != (status == http.StatusServiceUnavailable) {
+			t.Errorf("%s: status %d with Retry-After %q", row.name, status, header.Get("Retry-After"))
+		}
+	}
+}
+
+// TestRefusalsBeforeSending checks what is answered without a target.
+func TestRefusalsBeforeSending(t *testing.T) {
+	never := func(context.Context, *relay.Request) relay.Result {
+		t.Error("a request was sent")
+		return answered(200)
+	}
+	if status, _ := serve(newHandler(t, never, nil), "/once/1", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("no configuration: status %d", status)
+	}
+	if status, _ := serve(newHandler(t, never, config()), "/none/", ""); status != http.StatusNotFound {
+		t.Errorf("no route: status %d", status)
+	}
+	if status, _ := serve(newHandler(t, never, config()), "/any/", strings.Repeat("x", 200)); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("long body: status %d", status)
+	}
+	request := httptest.NewRequest(http.MethodGet, "http://a/any/", nil)
+	w := httptest.NewRecorder()
+	newHandler(t, never, config()).ServeHTTP(w, request)
+	if w.Code != http.StatusBadRequest {
+		t.Errorf("no id: status %d", w.Code)
+	}
+}
+
+// TestCallerServiceIsTheNodes sets the caller's service whatever the caller says.
+func TestCallerServiceIsTheNodes(t *testing.T) {
+	h := newHandler(t, func(_ context.Context, r *relay.Request) relay.Result {
+		if r.CallerService != "own" || r.Header.Get("Auburnrelay-Caller") != "" {
+			t.Errorf("caller %q, header %q", r.CallerService, r.Header.Get("Auburnrelay-Caller"))
+		}
+		return answered(200)
+	}, config())
+	request := httptest.NewRequest(http.MethodGet, "http://a/any/", nil)
+	request.Header.Set("Id", "1")
+	request.Header.Set("Auburnrelay-Caller", "forged")
+	h.ServeHTTP(httptest.NewRecorder(), request)
+}
+
+func serve(h *Handler, path, body string) (int, http.Header) {
+	request := httptest.NewRequest(http.MethodPost, "http://a"+path, strings.NewReader(body))
+	request.Header.Set("Id", "1")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, request)
+	return w.Code, w.Header()
+}
+
+func newHandler(t *testing.T, local func(context.Context, *relay.Request) relay.Result, c *routing.Config) *Handler {
+	t.Helper()
+	d := NewDispatcher(Parts{
+		View: oneTarget, Local: local, Retry: retry.Policy{Ratio: 1, Burst: 10, MaxTries: 10},
+		Region: "r", Log: slog.New(slog.DiscardHandler),
+	})
+	return NewHandler(idCodec{}, func() *routing.Config { return c }, d, "own", slog.New(slog.DiscardHandler))
+}
+
+func oneTarget() *ownership.View {
+	return ownership.NewView(map[string][]ownership.Destination{
+		"s": {{Node: "vm-1", Target: "i-1", Region: "r", Slots: 4, Local: true, Ready: true}},
+	})
+}
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -160,15 +160,13 @@
 	}
 }
 
-// wait pauses until the time has passed, the signal comes (true) or the context ends.
-func wait(ctx context.Context, d time.Duration, signal <-chan struct{}) bool {
+// wait pauses until the time has passed, the signal comes or the context ends.
+func wait(ctx context.Context, d time.Duration, signal <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-signal:
-		return true
 	case <-ctx.Done():
 	}
-	return false
 }
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -253,3 +253,12 @@
 	}
 	return addresses
 }
+
+// NewView returns a view of shared services with the targets, for tests of its users.
+func NewView(targets map[string][]Destination) *View {
+	v := &View{services: make(map[string]*serviceView)}
+	for service, list := range targets {
+		v.services[service] = &serviceView{targets: list}
+	}
+	return v
+}
--- a/node/pipeline/connection.go
+++ b/node/pipeline/connection.go
@@ -240,7 +240,7 @@
 func (c *connection) abort() {
 	c.end()
 	c.cancel()
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // linger ends the connection without losing its last answer.
@@ -249,5 +249,5 @@
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, drainBytes))
 	}
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
--- /dev/null
+++ b/node/storelink/storelink_test.go
@@ -0,0 +1,135 @@
+package storelink
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/contract"
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
+)
+
+// faulty is a store that answers one node and, while cut, not another.
+type faulty struct {
+	*memstore.Store
+	cut *bool
+}
+
+func (f faulty) ListStale(ctx context.Context, prefix string) (objects.Listing, error) {
+	if *f.cut {
+		return objects.Listing{}, objects.ErrUnavailable
+	}
+	return f.List(ctx, prefix)
+}
+
+func (f faulty) Get(ctx context.Context, key string) (objects.Object, error) {
+	if *f.cut {
+		return objects.Object{}, objects.ErrUnavailable
+	}
+	return f.Store.Get(ctx, key)
+}
+
+func (f faulty) Put(ctx context.Context, key string, value []byte, expected objects.Version, id string) (objects.Version, error) {
+	if *f.cut {
+		return 0, objects.ErrUnavailable
+	}
+	return f.Store.Put(ctx, key, value, expected, id)
+}
+
+func (f faulty) Poll(ctx context.Context, prefix string, after objects.Version) (objects.Batch, error) {
+	if *f.cut {
+		return objects.Batch{}, objects.ErrUnavailable
+	}
+	return f.Store.Poll(ctx, prefix, after)
+}
+
+func newLink(direct Direct, helpers ...string) *Store {
+	pool := h1.NewPool(h1.Options{DialTimeout: time.Second, IdleTimeout: time.Second, Silence: time.Second, MaxConns: 8})
+	return New(direct, pool, func() []string { return helpers }, slog.New(slog.DiscardHandler))
+}
+
+// pair returns a node that the store answers, and one that reaches the store through it while cut.
+func pair(t *testing.T, memory *memstore.Store, cut *bool) *Store {
+	t.Helper()
+	sound := false
+	helper := newLink(faulty{memory, &sound})
+	server := httptest.NewServer(helper)
+	t.Cleanup(server.Close)
+	return newLink(faulty{memory, cut}, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestCutOffNodeReachesTheStore makes each call through another node while the store does not
+// answer, and directly again once it does.
+func TestCutOffNodeReachesTheStore(t *testing.T) {
+	cut := true
+	memory := memstore.New(memstore.Options{PollWait: contract.PollWait})
+	s := pair(t, memory, &cut)
+	ctx := context.Background()
+	version, err := s.Put(ctx, "a/1", []byte("x"), 0, "w1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Put(ctx, "a/1", []byte("y"), 0, "w2"); !errors.Is(err, objects.ErrConflict) {
+		t.Errorf("a second create: %v", err)
+	}
+	object, err := s.Get(ctx, "a/1")
+	if err != nil || string(object.Value) != "x" || object.Version != version || object.WriteID != "w1" {
+		t.Errorf("got %+v, %v", object, err)
+	}
+	if _, err := s.Get(ctx, "b"); !errors.Is(err, objects.ErrNotFound) {
+		t.Errorf("what does not exist: %v", err)
+	}
+	listing, err := s.ListStale(ctx, "a/")
+	if err != nil || len(listing.Objects) != 1 {
+		t.Errorf("got %+v, %v", listing, err)
+	}
+	batch, err := s.Poll(ctx, "a/", 0)
+	if err != nil || len(batch.Events) != 1 {
+		t.Errorf("got %+v, %v", batch, err)
+	}
+	if s.IsDirect() {
+		t.Error("the store counts as reached")
+	}
+	cut = false
+	time.Sleep(probePause + 50*time.Millisecond)
+	if _, err := s.Get(ctx, "a/1"); err != nil || !s.IsDirect() {
+		t.Errorf("the store is back: %v", err)
+	}
+}
+
+// TestCallsArePassedOnOnce asks a node that is cut off itself: it passes nothing on.
+func TestCallsArePassedOnOnce(t *testing.T) {
+	cut := true
+	memory := memstore.New(memstore.Options{PollWait: contract.PollWait})
+	middle := pair(t, memory, &cut)
+	if _, err := middle.Put(context.Background(), "a", nil, 0, "w"); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(middle)
+	defer server.Close()
+	outer := newLink(faulty{memory, &cut}, strings.TrimPrefix(server.URL, "http://"))
+	if _, err := outer.Get(context.Background(), "a"); !errors.Is(err, objects.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestLostAnswerStaysUnknown loses the answer of a write that was passed on.
+func TestLostAnswerStaysUnknown(t *testing.T) {
+	cut := true
+	memory := memstore.New(memstore.Options{PollWait: contract.PollWait})
+	s := pair(t, memory, &cut)
+	memory.SetFaults(memstore.Faults{LoseNext: 1})
+	if _, err := s.Put(context.Background(), "a", []byte("x"), 0, "w"); !errors.Is(err, objects.ErrUnknownOutcome) {
+		t.Errorf("got %v", err)
+	}
+	if object, err := s.Get(context.Background(), "a"); err != nil || object.WriteID != "w" {
+		t.Errorf("got %+v, %v", object, err)
+	}
+}
