--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -151,7 +151,7 @@
 func (x *exchange) write(p []byte) {
 	if x.failed == nil {
 		_ = x.connection.SetWriteDeadline(time.Now().Add(writeTime))
-		_, x.failed = x.connection.Conn.Write(p)
+		_, x.failed = x.connection.Write(p)
 	}
 }
 
--- a/node/pipeline/pipeline.go
+++ b/node/pipeline/pipeline.go
@@ -154,7 +154,7 @@
 	s.closed = true
 	for c := range s.connections {
 		c.cancel()
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	if s.listener == nil {
 		return nil
