Take an earlier target for ended once a later one reports beside the same node

Ruled out: leases (taken up at once, the entries were not revoked). Change: one target stands beside a node, so a later one proves the earlier one's end.

--- a/node/ownership/act.go
+++ b/node/ownership/act.go
@@ -201,7 +201,9 @@
 			return l.isLapsed(now)
 		}
 	}
-	if l := o.life; l != nil && l.report.ID == owner.Target && l.report.Born > owner.Born {
+	// Beside a node stands one target: that a later one reports proves that an earlier one, which
+	// only a former process of this node knew, has ended.
+	if l := o.life; l != nil && l.report.Born > owner.Born {
 		return true
 	}
 	// A life that only a former process of this node knew: its grants lapsed with that
--- a/node/ownership/life.go
+++ b/node/ownership/life.go
@@ -81,10 +81,13 @@
 		return nil
 	}
 	if current != nil {
-		// The same id started again: its former life is over. Another id may run beside it.
-		if current.report.ID == r.ID && !current.dead {
+		// The same id started again, or another target took the address: the former life is over.
+		over := current.report.ID == r.ID || current.report.Address == r.Address
+		if over && !current.dead {
 			current.dead = true
-			o.cfg.Measure.TargetEnded()
+			if !current.isLeaving() {
+				o.cfg.Measure.TargetEnded()
+			}
 		}
 		o.former = append(o.former, current)
 	}
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -182,3 +182,24 @@
 		t.Errorf("%d slices released", n)
 	}
 }
+
+// TestLaterTargetProvesTheEarlierEnded restarts a node together with its target: what the table
+// gives to the target of before is free as soon as the new one reports, and not before.
+func TestLaterTargetProvesTheEarlierEnded(t *testing.T) {
+	r := newRig(t)
+	earlier := r.owner
+	if r.isOver(earlier, r.now) {
+		t.Error("over without a word")
+	}
+	r.Heartbeat(holding.Report{ID: "i-9", Address: "x", Service: "s", Slots: 6, Sequence: 1, Born: 9})
+	if !r.isOver(earlier, r.now) {
+		t.Error("not over though another target stands in its place")
+	}
+	if r.isOver(holding.Owner{Node: "vm-1", Target: "i-9", Born: 9}, r.now) {
+		t.Error("the present target is over")
+	}
+	later := holding.Owner{Node: "vm-1", Target: "i-10", Born: 10}
+	if r.isOver(later, r.now) {
+		t.Error("a later target is over because of an earlier one")
+	}
+}
