Hold requests for an owner shortly and ask them back later

Cause: requests for keys without an owner were held for 0.4 of their time; most of them ended refused all the same, and what is held costs as much as it waits.

--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -19,7 +19,7 @@
 
 const (
 	// holdShare is the part of the time left for which a request waits for its key's owner.
-	holdShare = 0.4
+	holdShare = 0.15
 	// holdPause is the time between two looks for the owner.
 	holdPause = 25 * time.Millisecond
 )
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -126,6 +126,10 @@
 		result.Answer.Send(w, r.Method)
 	case outcome.NotRun:
 		after := max(result.RetryAfter, minRetryAfter)
+		if result.Retryable() {
+			// The key's owner is found after a heartbeat or a lease, not after a request.
+			after = ownerRetryAfter
+		}
 		after = min(after, time.Duration(maxRetryShare*float64(max(0, r.Left()))))
 		h.refuse(w, r.ID, http.StatusServiceUnavailable, after, string(result.Reason))
 	default:
@@ -137,6 +141,9 @@
 	}
 }
 
+// ownerRetryAfter is when a caller may come back whose key has no owner now.
+const ownerRetryAfter = time.Second
+
 // minRetryAfter is the shortest time after which a refused caller is asked to come back: about
 // the work time of one request, in which a slot may become free.
 const minRetryAfter = 60 * time.Millisecond
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -69,8 +69,9 @@
 	targetConns = 90
 	// peerConns caps the connections to one other node.
 	peerConns = 256
-	// dialTime bounds a connection to another node, at most one region away (8 ms one way).
-	dialTime = 400 * time.Millisecond
+	// dialTime bounds a connection to another node, at most one region away (8 ms one way): a lost
+	// packet is sent again too late for most requests in any case.
+	dialTime = 200 * time.Millisecond
 	// silenceTime is how long sent bytes may stay unacknowledged.
 	silenceTime = 1500 * time.Millisecond
 	// targetIdle is under the time after which targets close idle connections (10 s).
