--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -88,15 +88,13 @@
 	Request *http.Request
 	// Match tells whether an answer belongs to the request; nil accepts any.
 	Match func(*http.Response) bool
-	// Fresh asks for a new connection.
-	Fresh bool
 }
 
 // Do sends the request once and returns the head of its answer; closing the answer's body frees
 // or closes the connection. When ctx ends, the connection is closed. An error is marked
 // ErrNotSent when no byte of the request left; otherwise the request may have been received.
 func (p *Pool) Do(ctx context.Context, call Call) (*http.Response, error) {
-	c, err := p.acquire(ctx, call.Address, call.Fresh)
+	c, err := p.acquire(ctx, call.Address)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -206,12 +204,8 @@
 	h.idle = append(h.idle, c)
 }
 
-func (p *Pool) acquire(ctx context.Context, address string, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.takeIdle(address)
-		if c == nil {
-			break
-		}
+func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
+	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
 		if time.Now().Before(c.expires) && c.isQuiet() {
 			return c, nil
 		}
@@ -284,23 +278,13 @@
 	return err
 }
 
-// Drop closes the idle connections to the address.
-func (p *Pool) Drop(address string) {
+// drop closes the idle connections to the address.
+func (p *Pool) drop(address string) {
 	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
 		c.shut()
 	}
 }
 
-// Open returns the number of open connections to the address.
-func (p *Pool) Open(address string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h := p.hosts[address]; h != nil {
-		return h.open
-	}
-	return 0
-}
-
 // Close closes every idle connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -310,7 +294,7 @@
 	}
 	p.mu.Unlock()
 	for _, address := range addresses {
-		p.Drop(address)
+		p.drop(address)
 	}
 }
 
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -11,13 +11,11 @@
 
 // Destination is a target as other nodes see it, beside the node that guards it.
 type Destination struct {
-	Node          string
-	Incarnation   string
-	Address       string
-	Region        string
-	FailureDomain string
-	Target        string
-	Slots         int
+	Node    string
+	Address string
+	Region  string
+	Target  string
+	Slots   int
 	// Local tells that the target stands beside this node.
 	Local bool
 	// Ready tells that the target takes new work of a shared service.
@@ -116,8 +114,7 @@
 func (o *Ownership) destination(p *peer) Destination {
 	t := p.entry.Target
 	return Destination{
-		Node: p.entry.Name, Incarnation: p.entry.Incarnation, Address: p.entry.Address,
-		Region: p.entry.Region, FailureDomain: p.entry.FailureDomain,
+		Node: p.entry.Name, Address: p.entry.Address, Region: p.entry.Region,
 		Target: t.ID, Slots: t.Slots, Local: p.entry.Name == o.cfg.Self.Name,
 		Ready: !t.Draining && !p.entry.Stopping,
 	}
@@ -129,8 +126,7 @@
 		return Destination{}, false
 	}
 	return Destination{
-		Node: p.entry.Name, Incarnation: p.entry.Incarnation, Address: p.entry.Address,
-		Region: p.entry.Region, FailureDomain: p.entry.FailureDomain,
+		Node: p.entry.Name, Address: p.entry.Address, Region: p.entry.Region,
 		Target: owner.Target, Local: owner.Node == o.cfg.Self.Name, Ready: true,
 	}, true
 }
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -78,6 +79,9 @@
 	targetIdle = 8 * time.Second
 	// peerIdle is under the idle timeout of the peers' server.
 	peerIdle = 40 * time.Second
+	// memoryPart is the part of the memory, in percent, from which the process collects garbage at
+	// any price; the rest is for what the runtime does not count.
+	memoryPart = 80
 	// retryNodes is the number of nodes among which the budget of retries is divided.
 	retryNodes = 16
 	// retryPart is the part of the allowed ratio that nodes use: requests that a target's own
@@ -113,8 +117,9 @@
 	settingsText []byte
 }
 
-// New checks nothing more than the settings did and opens the listeners.
+// New builds a node and opens its listeners; it writes its log to out.
 func New(s *Settings, out io.Writer) (*Daemon, error) {
+	debug.SetMemoryLimit(s.Node.MemoryMB << 20 * memoryPart / 100)
 	sink := logsink.New(out)
 	level := slog.LevelInfo
 	if s.Log.Level != "" {
