Take a node for gone when another one has its address

Change: a later entry with the same address marks the earlier node as gone; its lease is revoked at once. Log lines name other nodes as peer.

--- a/node/ownership/act.go
+++ b/node/ownership/act.go
@@ -332,7 +332,7 @@
 	now := o.cfg.Clock()
 	entry, err := decodeEntry(object)
 	if err != nil {
-		o.cfg.Log.Warn("entry of a lost node cannot be read", "node", name, "cause", err.Error())
+		o.cfg.Log.Warn("entry of a lost node cannot be read", "peer", name, "cause", err.Error())
 		return false
 	}
 	if entry.RevokedBy != "" {
@@ -353,10 +353,10 @@
 	}
 	version, err := o.put(ctx, NodesPrefix+name, value, object.Version)
 	if err != nil {
-		o.cfg.Log.Warn("lease not revoked", "node", name, "cause", err.Error())
+		o.cfg.Log.Warn("lease not revoked", "peer", name, "cause", err.Error())
 		return false
 	}
-	o.cfg.Log.Warn("lease revoked", "node", name, "version", int64(version), "silent_ms", (now - p.watch.Seen).Milliseconds())
+	o.cfg.Log.Warn("lease revoked", "peer", name, "version", int64(version), "silent_ms", (now - p.watch.Seen).Milliseconds())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.observe(&revoked, version, o.cfg.Clock())
--- a/node/ownership/entry.go
+++ b/node/ownership/entry.go
@@ -75,9 +75,11 @@
 	entry   *Entry
 	version objects.Version
 	watch   holding.Watch
+	// replaced tells that a later entry names the node's address: its VM is gone for good.
+	replaced bool
 }
 
 // isLive reports whether the node's lease may still run.
 func (p *peer) isLive(now time.Duration) bool {
-	return p.entry.RevokedBy == "" && !p.watch.Lapsed(now, p.entry.lease())
+	return p.entry.RevokedBy == "" && !p.replaced && !p.watch.Lapsed(now, p.entry.lease())
 }
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -192,7 +192,7 @@
 	for name, p := range o.peers {
 		if !present[name] && p.version <= listing.Version {
 			delete(o.peers, name)
-			o.cfg.Log.Info("node removed", "node", name, "version", int64(listing.Version))
+			o.cfg.Log.Info("node removed", "peer", name, "version", int64(listing.Version))
 		}
 	}
 	o.rebuild(now)
@@ -205,17 +205,29 @@
 	if p == nil {
 		p = &peer{watch: holding.Watch{}}
 		o.peers[entry.Name] = p
-		o.cfg.Log.Info("node found", "node", entry.Name, "address", entry.Address, "version", int64(version))
+		o.cfg.Log.Info("node found", "peer", entry.Name, "address", entry.Address, "version", int64(version))
 	}
 	if version <= p.version {
 		return
 	}
 	if p.entry != nil && p.entry.Incarnation != entry.Incarnation {
-		o.cfg.Log.Info("node restarted", "node", entry.Name, "incarnation", entry.Incarnation)
+		o.cfg.Log.Info("node restarted", "peer", entry.Name, "incarnation", entry.Incarnation)
 	}
-	p.entry, p.version = entry, version
+	p.entry, p.version, p.replaced = entry, version, false
+	o.noteReplaced(p)
 	if entry.Name != o.cfg.Self.Name {
 		o.cfg.Measure.Learn(entry.Name, entry.Suspects)
 	}
 	p.watch.Observe(int64(version), now)
 }
+
+// noteReplaced marks the nodes whose address a later entry names: an address is given to another
+// VM only after the former one is gone. The caller holds the lock.
+func (o *Ownership) noteReplaced(latest *peer) {
+	for name, p := range o.peers {
+		if p != latest && p.entry != nil && p.entry.Address == latest.entry.Address && p.version < latest.version && !p.replaced {
+			p.replaced = true
+			o.cfg.Log.Info("node replaced", "peer", name, "by", latest.entry.Name, "address", latest.entry.Address)
+		}
+	}
+}
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -203,3 +203,31 @@
 		t.Error("a later target is over because of an earlier one")
 	}
 }
+
+// TestAddressOfAnotherNodeProvesTheEarlierGone gives a lost node's address to another VM: its
+// slices are free without waiting for its lease.
+func TestAddressOfAnotherNodeProvesTheEarlierGone(t *testing.T) {
+	r := newRig(t)
+	entry := func(name, address string) *Entry {
+		return &Entry{Name: name, Address: address, LeaseMillis: 4000, Target: &Target{ID: "i-" + name, Born: 6, Service: "s"}}
+	}
+	r.observe(entry("vm-2", "x"), 10, r.now)
+	r.observe(entry("vm-3", "y"), 11, r.now)
+	owner := holding.Owner{Node: "vm-2", Target: "i-vm-2", Born: 6}
+	table := holding.NewTable("s")
+	table.Assign([]holding.Candidate{{Owner: owner}})
+	if lost := r.lostOwners(table, r.now); len(lost) != 0 {
+		t.Errorf("lost while the lease runs: %v", lost)
+	}
+	r.observe(entry("vm-4", "x"), 12, r.now)
+	if lost := r.lostOwners(table, r.now); len(lost) != 1 || lost[owner] == nil {
+		t.Errorf("not lost though another node has the address: %v", lost)
+	}
+	if len(r.candidates("s", r.now)) != 2 {
+		t.Errorf("candidates %v", r.candidates("s", r.now))
+	}
+	r.observe(entry("vm-2", "z"), 13, r.now)
+	if lost := r.lostOwners(table, r.now); len(lost) != 0 {
+		t.Errorf("lost though the node wrote again: %v", lost)
+	}
+}
