--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -80,6 +80,7 @@
 		{"no answer in time", "/once/1", []relay.Result{relay.Unknown(outcome.ReasonDeadline), answered(200)}, 504, 1},
 		{"may have run, repeatable", "/any/1", []relay.Result{lost, answered(200)}, 200, 2},
 		{"repeated no more than allowed", "/any/1", []relay.Result{lost, lost, lost, answered(200)}, 502, 3},
+		{"may have run, then refused", "/any/1", []relay.Result{lost, relay.NotRun(outcome.ReasonQuarantined)}, 502, 2},
 		{"no owner yet", "/once/1", []relay.Result{relay.NotRun(outcome.ReasonMoving), answered(200)}, 200, 2},
 		{"owner unreachable, then found", "/once/1", []relay.Result{relay.NotRun(outcome.ReasonPeerUnreachable), answered(200)}, 200, 2},
 		{"banned", "/once/1", []relay.Result{relay.NotRun(outcome.ReasonQuarantined), answered(200)}, 503, 1},
