--- /dev/null
+++ b/node/sidecar/sidecar_test.go
@@ -0,0 +1,94 @@
+package sidecar
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/objects"
+)
+
+// TestVersionsOnlyGrow brings configurations out of order, doubled and unreadable.
+func TestVersionsOnlyGrow(t *testing.T) {
+	c := newConfiguration(nil, slog.New(slog.DiscardHandler))
+	if c.current() != nil || c.isKeyed("k") {
+		t.Error("a configuration is in force before one was read")
+	}
+	rows := []struct {
+		value string
+		want  uint64
+	}{
+		{`{"version":"00000005","clusters":[{"name":"k","sharded":true}]}`, 5},
+		{`{"version":"0000000c"}`, 12},
+		{`{"version":"00000005"}`, 12},
+		{`{"version":"0000000c","clusters":[{"name":"other"}]}`, 12},
+		{`nonsense`, 12},
+		{`{"version":"zz"}`, 12},
+		{`{"version":"00000010"}`, 16},
+	}
+	for i, row := range rows {
+		c.apply(objects.Object{Value: []byte(row.value), Version: objects.Version(i + 1)})
+		if got := c.current().Version; got != row.want {
+			t.Errorf("after %s: version %d, want %d", row.value, got, row.want)
+		}
+		if i == 0 && !c.isKeyed("k") {
+			t.Error("the service is not divided by key")
+		}
+	}
+}
+
+// rendered is the deployment's template filled in as the platform does it.
+func rendered(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/node.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled := string(text)
+	for i, name := range []string{"listen.outbound", "listen.inbound", "listen.control", "listen.ready", "platform.addr"} {
+		filled = strings.ReplaceAll(filled, "{{"+name+"}}", fmt.Sprintf("10.1.0.38:%d", 8140+i))
+	}
+	for name, value := range map[string]string{
+		"node": "sidecar-debrecen-1", "region": "alfold", "zone": "debrecen", "service": "huvo11a", "ip": "10.1.0.38",
+		"internal-ports.0": "7380", "limits.memory-mb": "284", "heartbeat-s": "0.87", "bounds.drain-s": "2", "bounds.grace-s": "6",
+		"bounds.hold-max-s": "10", "bounds.retry-ratio": "0.2", "bounds.retry-slack": "58", "bounds.retry-window-s": "10",
+	} {
+		filled = strings.ReplaceAll(filled, "{{"+name+"}}", value)
+	}
+	if strings.Contains(filled, "{{") {
+		t.Fatalf("the template has fields that the test does not know:\n%s", filled)
+	}
+	return filled
+}
+
+// TestTemplateGivesSettings checks the settings that the deployment's template makes, and that
+// faults in them are named.
+func TestTemplateGivesSettings(t *testing.T) {
+	text := rendered(t)
+	s, err := ParseSettings([]byte(text + "\n[of_tomorrow]\nfield = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Node.Name != "sidecar-debrecen-1" || s.Listen.Admin != "10.1.0.38:7380" || s.Store.URL != "http://10.1.0.38:8144" ||
+		s.Target.HeartbeatSeconds != 0.87 || s.Bounds.HoldMaxSeconds != 10 || s.Bounds.RetrySlack != 58 {
+		t.Errorf("got %+v", s)
+	}
+	rows := []struct{ from, to, want string }{
+		{`name = "sidecar-debrecen-1"`, `name = ""`, "Settings.Node.Name"},
+		{`heartbeat_seconds = 0.87`, `heartbeat_seconds = -1`, "Settings.Target.HeartbeatSeconds"},
+		{`admin = "10.1.0.38:7380"`, `admin = "10.1.0.38"`, "Settings.Listen.Admin"},
+		{`url = "http://10.1.0.38:8144"`, `url = "ftp://x"`, "Settings.Store.URL"},
+		{`retry_ratio = 0.2`, `retry_ratio = "many"`, "line "},
+		{`[node]`, `[node`, "line "},
+	}
+	for _, row := range rows {
+		_, err := ParseSettings([]byte(strings.Replace(text, row.from, row.to, 1)))
+		if !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), row.want) {
+			t.Errorf("%s: got %v, want %s", row.to, err, row.want)
+		}
+	}
+}
