Take the peer's word that a deadline has passed

Ruled out: load (the machine was otherwise idle); the request's outcome (unknown either way). Change: the reason of a broken stream is also read from its status.

--- a/node/forward/client.go
+++ b/node/forward/client.go
@@ -58,7 +58,7 @@
 
 // unsentReason tells why a request never left this node whole.
 func unsentReason(ctx context.Context) outcome.Reason {
-	reason := lostReason(ctx)
+	reason := lostReason(ctx, nil)
 	if reason == outcome.ReasonPeerLost {
 		return outcome.ReasonPeerUnreachable
 	}
@@ -117,7 +117,7 @@
 	for {
 		frame, err := c.stream.Recv()
 		if err != nil {
-			return c.lost()
+			return c.lostBy(err)
 		}
 		reply, done := c.take(frame)
 		if done {
@@ -204,11 +204,14 @@
 	return Reply{Result: result, Started: c.started}
 }
 
-func (c *call) lost() Reply {
+func (c *call) lost() Reply { return c.lostBy(nil) }
+
+// lostBy is lost for a stream that ended with the error.
+func (c *call) lostBy(err error) Reply {
 	if !c.whole {
 		return notRun(unsentReason(c.ctx))
 	}
-	reason := lostReason(c.ctx)
+	reason := lostReason(c.ctx, err)
 	if c.started {
 		reason = outcome.ReasonTruncated
 	}
--- a/node/forward/convert.go
+++ b/node/forward/convert.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/node/plane"
@@ -133,10 +135,11 @@
 	}
 }
 
-// lostReason tells apart why a stream broke: the caller's side or the peer's.
-func lostReason(ctx context.Context) outcome.Reason {
+// lostReason tells apart why a stream broke with the error: the caller's side or the peer's. The
+// peer counts the same deadline, and its word may come before the context here has ended.
+func lostReason(ctx context.Context, err error) outcome.Reason {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), err != nil && status.Code(err) == codes.DeadlineExceeded:
 		return outcome.ReasonDeadline
 	case ctx.Err() != nil:
 		return outcome.ReasonCancelled
--- a/node/forward/forward_test.go
+++ b/node/forward/forward_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/keyspace"
@@ -208,6 +210,31 @@
 	}
 }
 
+// TestLostReason classifies a broken stream; the peer may notice the deadline first.
+func TestLostReason(t *testing.T) {
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	late, stop := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer stop()
+	rows := []struct {
+		name string
+		ctx  context.Context
+		err  error
+		want outcome.Reason
+	}{
+		{"peer ended", context.Background(), io.EOF, outcome.ReasonPeerLost},
+		{"connection broke", context.Background(), status.Error(codes.Unavailable, ""), outcome.ReasonPeerLost},
+		{"deadline here", late, io.EOF, outcome.ReasonDeadline},
+		{"deadline at the peer first", context.Background(), status.Error(codes.DeadlineExceeded, ""), outcome.ReasonDeadline},
+		{"caller gone", gone, status.Error(codes.Canceled, ""), outcome.ReasonCancelled},
+	}
+	for _, row := range rows {
+		if got := lostReason(row.ctx, row.err); got != row.want {
+			t.Errorf("%s: got %q, want %q", row.name, got, row.want)
+		}
+	}
+}
+
 // TestCutBodyStartsNothing ends a stream before the frame that completes the request.
 func TestCutBodyStartsNothing(t *testing.T) {
 	f := newFixture(t)
