Move few slices to targets that join and none before capacity is known

A target whose capacity was not measured yet counted as strained, so 50 slices moved in the first second of traffic; a joining target was given its whole share at once, each slice unserved for half a heartbeat. Change: no strain without a measured capacity, which takes 50 requests; a joining target gets half of its fair share, 64 slices at a time.

--- a/core/holding/balance.go
+++ b/core/holding/balance.go
@@ -6,6 +6,13 @@
 	excess = 0.2
 	// settled is the share above the mean at which a target has given enough away.
 	settled = 0.03
+	// joinShare is the part of its fair share of slices that a target which joins is given in any
+	// case: each move leaves a slice unserved for about half a heartbeat. The rest comes to it when
+	// others are strained.
+	joinShare = 0.5
+	// joinBatch is the number of slices that move to targets which join at a time, so that few
+	// keys are unserved at once.
+	joinBatch = Slices / 16
 	// strained and relieved are the shares of a target's capacity above which its slices move, and
 	// down to which: a move leaves a slice unserved for about half a heartbeat, which only a target
 	// that would refuse requests is worth.
@@ -142,7 +149,7 @@
 func (b *balance) isOver(target int) bool {
 	share := b.mean * b.capacity[target]
 	return b.load[target] > share*(1+excess) && b.load[target] > share+imbalance*b.slice &&
-		b.load[target] > strained*b.targets[target].Capacity
+		b.targets[target].Capacity > 0 && b.load[target] > strained*b.targets[target].Capacity
 }
 
 // isAbove reports whether a target's load exceeds its share.
@@ -155,14 +162,31 @@
 	return b.load[target] > relieved*b.targets[target].Capacity
 }
 
-// isAnyEmpty reports whether a target has no slice: one that has just joined.
-func (t *Table) isAnyEmpty(b *balance) bool {
-	for _, c := range b.targets {
-		if t.count(c.Owner) == 0 {
-			return true
+// share is the number of slices that a target would have if they followed the capacities.
+func (b *balance) share(target int) float64 {
+	sum := 0.0
+	for _, c := range b.capacity {
+		sum += c
+	}
+	return Slices * b.capacity[target] / sum
+}
+
+// hasRoom reports whether a target's load is so small that it may be given slices for no other
+// reason than that it has few.
+func (b *balance) hasRoom(target int) bool {
+	c := b.targets[target].Capacity
+	return c == 0 || b.load[target] < joinShare*relieved*c
+}
+
+// most returns the target other than to with the highest load; negative if there is none.
+func (b *balance) most(to int) int {
+	best := -1
+	for i := range b.targets {
+		if i != to && (best < 0 || b.loadWith(i, 0) > b.loadWith(best, 0)) {
+			best = i
 		}
 	}
-	return false
+	return best
 }
 
 // count returns the number of slices that an owner has or is to have.
--- a/core/holding/meter.go
+++ b/core/holding/meter.go
@@ -11,10 +11,13 @@
 	maxHot = 12
 	// hotFactor is how many times the mean rate makes a slice hot.
 	hotFactor = 3
-	// smoothing is the weight of the latest reading of a rate, and of one request in the mean
-	// time that a request takes.
-	smoothing     = 0.6
-	timeSmoothing = 0.05
+	// smoothing is the weight of the latest reading of a rate.
+	smoothing = 0.6
+	// timeSmoothing is the weight of one request in the mean time that a request takes: times
+	// spread so widely that the mean of fewer than about 50 is off by a fifth.
+	timeSmoothing = 0.02
+	// minServed is the number of requests from which that mean is told.
+	minServed = 50
 )
 
 // Load is what a target's node measured of it.
@@ -34,7 +37,8 @@
 	rates  [Slices]float64
 	read   time.Duration
 	// took is the smoothed time of a request in a slot, in seconds.
-	took float64
+	took   float64
+	served int
 }
 
 // Arrived counts a request for a key.
@@ -42,10 +46,9 @@
 
 // Served counts a request that a slot was busy with for the time.
 func (m *Meter) Served(took time.Duration) {
-	if m.took == 0 {
-		m.took = took.Seconds()
-	}
-	m.took += timeSmoothing * (took.Seconds() - m.took)
+	m.served++
+	weight := max(timeSmoothing, 1/float64(m.served))
+	m.took += weight * (took.Seconds() - m.took)
 }
 
 // Read returns the load since the last reading, smoothed with former ones.
@@ -53,7 +56,7 @@
 	span := (now - m.read).Seconds()
 	m.read = now
 	load := Load{}
-	if m.took > 0 {
+	if m.served >= minServed && m.took > 0 {
 		load.Capacity = round(float64(slots) / m.took)
 	}
 	if span <= 0 {
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -152,29 +152,73 @@
 	return changed
 }
 
-// Move marks so many slices to move that no target's load exceeds its share by much; nothing
-// while slices are on their way. It reports whether anything changed.
-func (t *Table) Move(candidates []Candidate) bool {
+// Move marks slices to move to targets that have joined and, if the measured rates are settled,
+// away from targets whose load exceeds their capacity; nothing while slices are on their way. It
+// reports whether anything changed.
+func (t *Table) Move(candidates []Candidate, settled bool) bool {
 	if t.IsMoving() {
 		return false
 	}
 	b := t.balance(candidates)
 	changed := false
-	joins := t.isAnyEmpty(b)
+	left := joinBatch
+	for to := range b.targets {
+		n := t.fill(b, to, left)
+		left -= n
+		changed = changed || n > 0
+	}
 	for from := range b.targets {
-		if joins || b.isOver(from) {
-			changed = t.relieve(b, from, joins) || changed
+		if settled && b.isOver(from) {
+			changed = t.relieve(b, from) || changed
 		}
 	}
 	return changed
 }
 
-// relieve marks slices of a target to move, busy ones first, until its load is its share or, if
-// that is not asked for evenly, until the target is not strained any more.
-func (t *Table) relieve(b *balance, from int, evenly bool) bool {
+// fill marks up to limit slices of the most loaded targets to move to a target that is short of
+// slices, and returns their number.
+func (t *Table) fill(b *balance, to, limit int) int {
+	if !b.hasRoom(to) {
+		return 0
+	}
+	missing := int(joinShare*b.share(to)) - t.count(b.targets[to].Owner)
+	filled := 0
+	for filled < min(missing, limit) {
+		from := b.most(to)
+		slice := -1
+		if from >= 0 {
+			slice = t.anyOf(b.targets[from].Owner, filled)
+		}
+		if slice < 0 {
+			break
+		}
+		t.Slices[slice].Next = t.index(b.targets[to].Owner)
+		b.add(from, -b.rate(slice))
+		b.add(to, b.rate(slice))
+		filled++
+	}
+	return filled
+}
+
+// anyOf returns a slice of the owner that does not move, a different one for each n if it has
+// several; negative if it has none.
+func (t *Table) anyOf(owner Owner, n int) int {
+	start := n * (Slices/joinBatch + 1)
+	for k := range Slices {
+		i := (start + k) % Slices
+		if s := t.Slices[i]; s.Owner >= 0 && s.Next < 0 && t.Owners[s.Owner] == owner {
+			return i
+		}
+	}
+	return -1
+}
+
+// relieve marks slices of a target to move, busy ones first, until it is not strained any more or
+// its load is its share. It reports whether anything changed.
+func (t *Table) relieve(b *balance, from int) bool {
 	changed := false
 	for _, i := range t.busiest(b, from) {
-		if !b.isAbove(from) || !evenly && !b.isStrained(from) {
+		if !b.isAbove(from) || !b.isStrained(from) {
 			break
 		}
 		to := b.least(from, b.rate(i))
@@ -193,7 +237,7 @@
 func (t *Table) busiest(b *balance, from int) []int {
 	var list []int
 	for i, s := range t.Slices {
-		if s.Owner >= 0 && t.Owners[s.Owner] == b.targets[from].Owner {
+		if s.Owner >= 0 && s.Next < 0 && t.Owners[s.Owner] == b.targets[from].Owner {
 			list = append(list, i)
 		}
 	}
@@ -211,10 +255,10 @@
 	return false
 }
 
-// Needs reports whether Assign, Evacuate, Level or, with balances, Move would change the table.
-func (t *Table) Needs(candidates []Candidate, size AnswerSize, balances bool) bool {
+// Needs reports whether Assign, Evacuate, Move or Level would change the table.
+func (t *Table) Needs(candidates []Candidate, size AnswerSize, settled bool) bool {
 	c := t.Clone()
-	return c.Assign(candidates) || c.Evacuate(candidates) || balances && c.Move(candidates) || c.Level(candidates, size)
+	return c.Assign(candidates) || c.Evacuate(candidates) || c.Move(candidates, settled) || c.Level(candidates, size)
 }
 
 func isLeaving(o Owner, candidates []Candidate) bool {
--- a/node/ownership/act.go
+++ b/node/ownership/act.go
@@ -229,8 +229,8 @@
 	if c.table.IsMoving() {
 		o.movedAt[service] = now
 	}
-	balances := now-o.movedAt[service] >= o.cfg.Timing.Settle
-	if len(lost) == 0 && !c.table.Needs(candidates, o.cfg.AnswerSize, balances) {
+	settled := now-o.movedAt[service] >= o.cfg.Timing.Settle
+	if len(lost) == 0 && !c.table.Needs(candidates, o.cfg.AnswerSize, settled) {
 		delete(o.planSince, service)
 		return
 	}
@@ -250,9 +250,7 @@
 	}
 	c.because(c.table.Assign(candidates), "assigned")
 	c.because(c.table.Evacuate(candidates), "leaving targets relieved")
-	if balances {
-		c.because(c.table.Move(candidates), "moved by load")
-	}
+	c.because(c.table.Move(candidates, settled), "moved")
 	c.because(c.table.Level(candidates, o.cfg.AnswerSize), "tokens levelled")
 }
 
