Send shared requests with a key elsewhere; tell other nodes what is keyed

Change: the first node says whether a request is keyed; a node that knows no others asks those that have called it.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -37,7 +37,7 @@
 
 // Gate tells which target may be sent a request.
 type Gate interface {
-	Admit(service string, hasKey bool, key int) (ownership.Local, outcome.Reason)
+	Admit(service string, keyed bool, key int) (ownership.Local, outcome.Reason)
 	TargetGone(id string, born int64)
 	NotHeld(id string, born int64, key int)
 }
@@ -73,7 +73,7 @@
 
 // Serve runs a request at the local target. When ctx ends, the call is broken off.
 func (g *Guard) Serve(ctx context.Context, r *relay.Request) relay.Result {
-	local, reason := g.gate.Admit(r.Service, r.HasKey, r.Key)
+	local, reason := g.gate.Admit(r.Service, r.Keyed, r.Key)
 	if reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
@@ -81,7 +81,7 @@
 	if reason := g.await(ctx, r, local.Slots); reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
-	local, reason = g.gate.Admit(r.Service, r.HasKey, r.Key)
+	local, reason = g.gate.Admit(r.Service, r.Keyed, r.Key)
 	if reason != outcome.ReasonNone {
 		g.finish()
 		return relay.NotRun(reason)
@@ -117,7 +117,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.slots = slots
-	if r.HasKey {
+	if r.Keyed {
 		g.meter.Arrived(r.Key)
 	}
 }
@@ -151,7 +151,7 @@
 		return result
 	}
 	result := g.take(ctx, r, response)
-	if r.HasKey && result.Reason == outcome.ReasonFence {
+	if r.Keyed && result.Reason == outcome.ReasonFence {
 		g.gate.NotHeld(local.ID, local.Born, r.Key)
 	}
 	if result.Answer != nil && result.Answer.Rest != nil {
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -30,6 +30,7 @@
 	headerCaller   = prefix + "Caller"
 	headerKind     = prefix + "Kind"
 	headerPriority = prefix + "Priority"
+	headerKeyed    = prefix + "Keyed"
 	headerWait     = prefix + "Wait-Us"
 	headerAim      = prefix + "Objective-Us"
 	headerOutcome  = prefix + "Outcome"
@@ -80,6 +81,9 @@
 	h.Set(headerCaller, r.CallerService)
 	h.Set(headerKind, strconv.Itoa(int(r.Kind)))
 	h.Set(headerPriority, strconv.Itoa(r.Priority))
+	if r.Keyed {
+		h.Set(headerKeyed, "1")
+	}
 	h.Set(headerWait, strconv.FormatInt(r.Left().Microseconds(), 10))
 	h.Set(headerAim, strconv.FormatInt(r.Objective.Microseconds(), 10))
 }
@@ -199,7 +203,7 @@
 	}
 	request := &relay.Request{
 		Head: head, Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body,
-		Service: h.Get(headerService), CallerService: h.Get(headerCaller),
+		Service: h.Get(headerService), Keyed: head.HasKey && h.Get(headerKeyed) != "", CallerService: h.Get(headerCaller),
 		Kind: routing.Kind(kind), Priority: priority,
 		Objective: time.Duration(aim) * time.Microsecond,
 		Deadline:  arrived.Add(time.Duration(wait) * time.Microsecond),
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -137,7 +137,7 @@
 
 // elsewhere reports whether the request may go to a target that was not tried.
 func (a *run) elsewhere() bool {
-	if a.request.HasKey {
+	if a.request.Keyed {
 		return false
 	}
 	for _, d := range a.parts.View().Targets(a.request.Service) {
@@ -178,13 +178,14 @@
 // once sends the request to the target that fits best now.
 func (a *run) once(ctx context.Context) relay.Result {
 	view := a.parts.View()
-	if a.request.HasKey {
+	if a.request.Keyed {
 		if d, _, ok := view.Owner(a.request.Service, a.request.Key); ok {
 			return a.send(ctx, d)
 		}
+		return relay.NotRun(outcome.ReasonNoOwner)
 	}
 	targets := view.Targets(a.request.Service)
-	if a.request.HasKey && view.IsKeyed(a.request.Service) || len(targets) == 0 {
+	if len(targets) == 0 {
 		return relay.NotRun(outcome.ReasonNoOwner)
 	}
 	return a.share(ctx, targets)
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -73,14 +73,14 @@
 		h.log.Info("request not read", "id", head.ID, "cause", err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	request := h.request(r, head, route, body, arrived)
+	request := h.request(r, head, config, route, body, arrived)
 	result := h.dispatch.Do(r.Context(), request, route)
 	h.report(request, route, config, result, arrived)
 	h.answer(w, request, result)
 }
 
 func (h *Handler) request(
-	r *http.Request, head exchange.Head, route *routing.Route, body *relay.Body, arrived time.Time,
+	r *http.Request, head exchange.Head, config *routing.Config, route *routing.Route, body *relay.Body, arrived time.Time,
 ) *relay.Request {
 	wait := defaultWait
 	if route.Timeout > 0 {
@@ -94,9 +94,10 @@
 			delete(r.Header, name)
 		}
 	}
+	service := route.Pick(rand.Float64())
 	return &relay.Request{
 		Head: head, Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
-		Service: route.Pick(rand.Float64()), CallerService: h.service,
+		Service: service, Keyed: head.HasKey && config.Services[service].Keyed, CallerService: h.service,
 		Kind: route.Kind, Priority: route.Priority, Objective: route.Objective,
 		Deadline: arrived.Add(wait),
 	}
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -24,7 +24,7 @@
 	if h.Get("Id") == "" {
 		return exchange.Head{}, exchange.ErrMalformed
 	}
-	return exchange.Head{ID: h.Get("Id"), Wait: 400 * time.Millisecond}, nil
+	return exchange.Head{ID: h.Get("Id"), Wait: 400 * time.Millisecond, Key: 7, HasKey: true}, nil
 }
 
 func (idCodec) Deliver(http.Header, exchange.Delivery) {}
@@ -46,9 +46,11 @@
 
 func config() *routing.Config {
 	return (&routing.Config{
-		Version: 1,
-		Limits:  routing.Limits{BodyBytes: 100},
+		Version:  1,
+		Limits:   routing.Limits{BodyBytes: 100},
+		Services: map[string]routing.Service{"s": {Name: "s"}, "k": {Name: "k", Keyed: true}},
 		Routes: []routing.Route{
+			{Name: "keyed", Host: "a", Prefix: "/keyed/", Kind: routing.Idempotent, Attempts: 3, Parts: []routing.Part{{Service: "k", Weight: 1}}},
 			{Name: "once", Host: "a", Prefix: "/once/", Kind: routing.NonIdempotent, Attempts: 3, Parts: []routing.Part{{Service: "s", Weight: 1}}},
 			{Name: "any", Host: "a", Prefix: "/any/", Kind: routing.Idempotent, Attempts: 3, Parts: []routing.Part{{Service: "s", Weight: 1}}},
 		},
@@ -103,6 +105,43 @@
 	}
 }
 
+// peers answers what is sent to other nodes.
+type peers func(*relay.Request) relay.Result
+
+func (p peers) Send(_ context.Context, r *relay.Request, _ ownership.Destination) relay.Result {
+	return p(r)
+}
+
+// TestKeyOfASharedService sends a request that has a key of no meaning for its service elsewhere
+// when a target refuses it, and one of a keyed service nowhere but to the owner.
+func TestKeyOfASharedService(t *testing.T) {
+	targets := func(service string) func() *ownership.View {
+		return func() *ownership.View {
+			return ownership.NewView(map[string][]ownership.Destination{service: {
+				{Node: "vm-1", Target: "i-1", Region: "r", Slots: 4, Local: true, Ready: true},
+				{Node: "vm-2", Target: "i-2", Region: "q", Slots: 4, Ready: true},
+			}})
+		}
+	}
+	for _, row := range []struct {
+		path, service string
+		status        int
+		sends         int
+	}{{"/any/1", "s", http.StatusOK, 2}, {"/keyed/1", "k", http.StatusServiceUnavailable, 0}} {
+		sends := 0
+		d := NewDispatcher(Parts{
+			View: targets(row.service), Region: "r", Log: slog.New(slog.DiscardHandler),
+			Retry: retry.Policy{Ratio: 1, Burst: 10, MaxTries: 10},
+			Local: func(context.Context, *relay.Request) relay.Result { sends++; return shed() },
+			Peers: peers(func(*relay.Request) relay.Result { sends++; return answered(200) }),
+		})
+		h := NewHandler(idCodec{}, config, d, "own", slog.New(slog.DiscardHandler))
+		if status, _ := serve(h, row.path, ""); status != row.status || sends != row.sends {
+			t.Errorf("%s: status %d after %d sends", row.path, status, sends)
+		}
+	}
+}
+
 // TestRefusalsBeforeSending checks what is answered without a target.
 func TestRefusalsBeforeSending(t *testing.T) {
 	never := func(context.Context, *relay.Request) relay.Result {
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -232,3 +232,18 @@
 		t.Errorf("lost though the node wrote again: %v", lost)
 	}
 }
+
+// TestKeyedRequestBeforeTheConfiguration refuses a keyed request on a node that knows neither the
+// configuration nor a table: its target would refuse it.
+func TestKeyedRequestBeforeTheConfiguration(t *testing.T) {
+	r := newRig(t)
+	r.cfg.IsKeyed = func(string) bool { return false }
+	delete(r.tables, "s")
+	r.beat()
+	if _, reason := r.Admit("s", true, 1); reason != outcome.ReasonNoOwner {
+		t.Errorf("a keyed request is admitted: %v", reason)
+	}
+	if _, reason := r.Admit("s", false, 1); reason != outcome.ReasonNone {
+		t.Errorf("a shared request is refused: %v", reason)
+	}
+}
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -48,12 +48,6 @@
 	return nil
 }
 
-// IsKeyed reports whether the service has a table of slices.
-func (v *View) IsKeyed(service string) bool {
-	s := v.services[service]
-	return s != nil && s.keyed
-}
-
 // Owner returns the target that holds a key, and the version of the table that says so.
 func (v *View) Owner(service string, key int) (Destination, int64, bool) {
 	s := v.services[service]
@@ -140,9 +134,10 @@
 	Slots   int
 }
 
-// Admit returns the local target if a request of the service, with a key if hasKey, may be sent
-// to it now, and otherwise the reason why not.
-func (o *Ownership) Admit(service string, hasKey bool, key int) (Local, outcome.Reason) {
+// Admit returns the local target if a request of the service may be sent to it now, and otherwise
+// the reason why not. With keyed the target must hold the key; whether the service is divided by
+// key is for the request's first node to say, since this one may not know the configuration yet.
+func (o *Ownership) Admit(service string, keyed bool, key int) (Local, outcome.Reason) {
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -153,7 +148,7 @@
 	local := Local{
 		ID: l.report.ID, Born: l.report.Born, Address: l.report.Address, Service: service, Slots: l.report.Slots,
 	}
-	if !hasKey || !o.cfg.IsKeyed(service) {
+	if !keyed {
 		if l.isLeaving() {
 			return local, outcome.ReasonTargetDraining
 		}
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -37,6 +37,9 @@
 	Body   *Body
 	// Service is the service that the route names.
 	Service string
+	// Keyed tells that the service is divided by key and the request has one: only the key's owner
+	// may run it.
+	Keyed bool
 	// CallerService is the service of the machine on which the request originated.
 	CallerService string
 	Kind          routing.Kind
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -117,6 +117,7 @@
 	peerPool  *h1.Pool
 	pools     []*h1.Pool
 	servers   servers
+	contacts  *contacts
 	stopAsked chan struct{}
 	stopOnce  sync.Once
 	// settingsText is the settings file as last read.
@@ -135,11 +136,12 @@
 	}
 	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})).With("node", s.Node.Name)
 	d := &Daemon{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry(), stopAsked: make(chan struct{})}
+	d.contacts = newContacts(s.Listen.Peers)
 	raw := objectstore.New(s.Store.URL, objectstore.Options{
 		PollWait: pollWait, Separate: []string{"nodes", "tables"}, Encoding: s.Store.Encoding,
 	})
 	d.peerPool = h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: peerIdle, Silence: silenceTime, MaxConns: peerConns})
-	d.store = storelink.New(raw, d.peerPool, func() []string { return d.ownership.Others() }, log.With("part", "store"))
+	d.store = storelink.New(raw, d.peerPool, d.helpers, log.With("part", "store"))
 	watching := client.New(d.store, client.Options{
 		CallsPerSecond: storeCalls, Burst: storeBurst, AttemptTimeout: time.Second, PollTimeout: pollWait + pollMargin,
 		MaxBackoff: watchBackoff, Registerer: d.registry,
@@ -195,6 +197,7 @@
 func (d *Daemon) peerHandler(requests *hop.Server) http.Handler {
 	votes := voting.Handler(d.settings.Node.Name, d.ownership.Vote)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.contacts.note(r.RemoteAddr)
 		switch {
 		case hop.IsRequest(r.Header):
 			requests.ServeHTTP(w, r)
@@ -208,6 +211,15 @@
 	})
 }
 
+// helpers returns the nodes through which the store can be reached: those of the entries or, before
+// the entries were read, those that have called this node.
+func (d *Daemon) helpers() []string {
+	if known := d.ownership.Others(); len(known) > 0 {
+		return known
+	}
+	return d.contacts.addresses()
+}
+
 // Run serves until the context ends, a part fails or a signal asks for a stop.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.sink.Close()
