Bound polls that are passed on through another node

Ruled out: the direct poll; TCP_USER_TIMEOUT, as nothing sent is unanswered. Change: a poll that is passed on waits for 1 s at most, and its answer is awaited for 0.4 s more. Test: TestPollLeavesALostHelper hangs without the bound.

--- a/node/storelink/protocol.go
+++ b/node/storelink/protocol.go
@@ -15,8 +15,13 @@
 // Path is where a node takes store calls of other nodes.
 const Path = "/auburnrelay/store"
 
-// askTime bounds a call through another node, except for the wait of a poll.
-const askTime = 400 * time.Millisecond
+const (
+	// askTime bounds a call through another node, beside the wait of a poll.
+	askTime = 400 * time.Millisecond
+	// passedPollTime is the wait of a poll that is passed on: a node that is lost meanwhile is
+	// noticed after it, well before a configuration must be in force.
+	passedPollTime = time.Second
+)
 
 // operation names a call.
 type operation string
@@ -70,11 +75,12 @@
 
 // ask makes a call through the node at the address.
 func (s *Store) ask(ctx context.Context, address string, m message) (answer, error) {
-	if m.Op != opPoll {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, askTime)
-		defer cancel()
+	limit := askTime
+	if m.Op == opPoll {
+		limit += passedPollTime
 	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	// A call that was sent and is not answered may have taken effect, if it is a write.
 	doubt := objects.ErrUnavailable
 	if m.Op == opPut || m.Op == opDelete {
@@ -115,11 +121,13 @@
 }
 
 func (s *Store) serve(ctx context.Context, m message) (a answer, err error) {
-	if m.Op != opPoll {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, directTime)
-		defer cancel()
+	limit := directTime
+	if m.Op == opPoll {
+		limit = passedPollTime
 	}
+	caller := ctx
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	switch m.Op {
 	case opGet:
 		a.Object, err = s.direct.Get(ctx, m.Key)
@@ -133,6 +141,10 @@
 		err = s.direct.Delete(ctx, m.Key, m.Version)
 	case opPoll:
 		a.Batch, err = s.direct.Poll(ctx, m.Key, m.Version)
+		if err != nil && ctx.Err() != nil && caller.Err() == nil {
+			// The wait is over without a change.
+			a.Batch, err = objects.Batch{Next: m.Version}, nil
+		}
 	default:
 		err = errors.Newf("unknown store call %q", m.Op)
 	}
--- a/node/storelink/storelink_test.go
+++ b/node/storelink/storelink_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -133,3 +134,39 @@
 		t.Errorf("got %+v, %v", object, err)
 	}
 }
+
+// TestPollLeavesALostHelper polls through a node that no longer answers: the poll fails soon, and
+// the next one goes through another node.
+func TestPollLeavesALostHelper(t *testing.T) {
+	cut, sound := true, false
+	memory := memstore.New(memstore.Options{PollWait: time.Minute})
+	release := make(chan struct{})
+	lost := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}))
+	defer lost.Close()
+	defer close(release)
+	good := httptest.NewServer(newLink(faulty{memory, &sound}))
+	defer good.Close()
+	s := newLink(faulty{memory, &cut}, strings.TrimPrefix(lost.URL, "http://"), strings.TrimPrefix(good.URL, "http://"))
+	if _, err := s.Get(context.Background(), "a"); !errors.Is(err, objects.ErrNotFound) || s.IsDirect() {
+		t.Fatalf("got %v", err)
+	}
+	s.helper = strings.TrimPrefix(lost.URL, "http://")
+	version, err := memory.Put(context.Background(), "a/1", nil, 0, "w")
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	const within = 2 * (passedPollTime + askTime)
+	batch, err := s.Poll(context.Background(), "a/", version)
+	if took := time.Since(began); took > within {
+		t.Errorf("the poll took %v", took)
+	}
+	if err != nil || len(batch.Events) != 0 || batch.Next != version {
+		t.Errorf("got %+v, %v", batch, err)
+	}
+}
