--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -20,6 +20,7 @@
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
+	"github.com/auburnrelay/auburnrelay/node/telemetry"
 )
 
 const (
@@ -48,7 +49,9 @@
 	pool  *h1.Pool
 	codec exchange.Codec
 	log   *slog.Logger
-	begin time.Time
+	// metrics count what the target does.
+	metrics *telemetry.Metrics
+	begin   time.Time
 
 	mu        sync.Mutex
 	queue     *turn.Queue
@@ -61,9 +64,9 @@
 }
 
 // New returns a guard of the gate's target.
-func New(gate Gate, pool *h1.Pool, codec exchange.Codec, log *slog.Logger) *Guard {
+func New(gate Gate, pool *h1.Pool, codec exchange.Codec, m *telemetry.Metrics, log *slog.Logger) *Guard {
 	g := &Guard{
-		gate: gate, pool: pool, codec: codec, log: log, begin: time.Now(),
+		gate: gate, pool: pool, codec: codec, metrics: m, log: log, begin: time.Now(),
 		queue: turn.New(1, roomPerSlot), waiting: make(map[uint64]chan turn.Verdict),
 		suspicion: newSuspicion(),
 	}
@@ -78,7 +81,10 @@
 		return relay.NotRun(reason)
 	}
 	g.arrived(r, local.Slots)
-	if reason := g.await(ctx, r, local.Slots); reason != outcome.ReasonNone {
+	arrived := time.Now()
+	reason = g.await(ctx, r, local.Slots)
+	g.metrics.Waited(r.Kind.String(), time.Since(arrived))
+	if reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
 	local, reason = g.gate.Admit(r.Service, r.Keyed, r.Key)
@@ -94,6 +100,7 @@
 	began := time.Now()
 	result := g.call(ctx, r, local)
 	g.ended(f, result)
+	g.metrics.AtTarget(r.Kind.String(), result.Outcome, time.Since(began))
 	if result.Outcome == outcome.Answered {
 		g.served(time.Since(began))
 	}
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
+	"github.com/auburnrelay/auburnrelay/node/telemetry"
 )
 
 // Headers between nodes; the receiver takes off what begins with the prefix.
@@ -151,12 +151,12 @@
 	node  string
 	codec exchange.Codec
 	serve func(context.Context, *relay.Request) relay.Result
-	log   *slog.Logger
+	log   *telemetry.RequestLog
 }
 
 // NewServer returns the http.Handler of the node that serves by serve.
 func NewServer(
-	node string, codec exchange.Codec, serve func(context.Context, *relay.Request) relay.Result, log *slog.Logger,
+	node string, codec exchange.Codec, serve func(context.Context, *relay.Request) relay.Result, log *telemetry.RequestLog,
 ) *Server {
 	return &Server{node: node, codec: codec, serve: serve, log: log}
 }
@@ -169,11 +169,13 @@
 	if reason == outcome.ReasonNone {
 		result = s.serve(r.Context(), request)
 	}
+	write := s.log.Plain
 	if result.Outcome != outcome.Answered {
-		s.log.Info("hop ended", "id", idOf(request), "outcome", result.Outcome.String(),
-			"reason", string(result.Reason), "detail", result.Detail, "target", result.Target,
-			"took_ms", time.Since(arrived).Milliseconds())
+		write = s.log.Notable
 	}
+	write("hop ended", "id", idOf(request), "outcome", result.Outcome.String(),
+		"reason", string(result.Reason), "detail", result.Detail, "target", result.Target,
+		"took_ms", time.Since(arrived).Milliseconds())
 	writeResult(w, r.Method, result)
 }
 
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"hash/fnv"
-	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/auburnrelay/auburnrelay/core/routing"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
+	"github.com/auburnrelay/auburnrelay/node/telemetry"
 )
 
 const (
@@ -37,7 +37,9 @@
 	// Retry bounds the sends beyond the first.
 	Retry  retry.Policy
 	Region string
-	Log    *slog.Logger
+	Log    *telemetry.RequestLog
+	// Metrics count the sends.
+	Metrics *telemetry.Metrics
 }
 
 // Dispatcher sends requests to targets until one outcome is final. It is safe for concurrent use.
@@ -97,8 +99,9 @@
 		if !attempt.again(ctx, result, route) {
 			return attempt.final(result)
 		}
-		d.parts.Log.Info("request sent again", "id", r.ID, "outcome", result.Outcome.String(), "reason", string(result.Reason),
-			"target", result.Target, "sends", attempt.sends, "left_ms", r.Left().Milliseconds())
+		d.parts.Metrics.SentAgain(result.Reason)
+		d.parts.Log.Notable("request sent again", "id", r.ID, "outcome", result.Outcome.String(), "reason", string(result.Reason),
+			"target", result.Target, "sends", attempt.sends, "table", r.Table, "left_ms", r.Left().Milliseconds())
 	}
 }
 
@@ -179,7 +182,9 @@
 func (a *run) once(ctx context.Context) relay.Result {
 	view := a.parts.View()
 	if a.request.Keyed {
-		if d, _, ok := view.Owner(a.request.Service, a.request.Key); ok {
+		d, version, ok := view.Owner(a.request.Service, a.request.Key)
+		a.request.Table = version
+		if ok {
 			return a.send(ctx, d)
 		}
 		return relay.NotRun(outcome.ReasonNoOwner)
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -6,7 +6,6 @@
 package ingress
 
 import (
-	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/routing"
 	"github.com/auburnrelay/auburnrelay/node/relay"
+	"github.com/auburnrelay/auburnrelay/node/telemetry"
 )
 
 const (
@@ -33,12 +33,13 @@
 	config   func() *routing.Config
 	dispatch *Dispatcher
 	service  string
-	log      *slog.Logger
+	log      *telemetry.RequestLog
+	metrics  *telemetry.Metrics
 }
 
 // NewHandler returns the handler of a node beside a target of the service.
-func NewHandler(codec exchange.Codec, config func() *routing.Config, d *Dispatcher, service string, log *slog.Logger) *Handler {
-	return &Handler{codec: codec, config: config, dispatch: d, service: service, log: log}
+func NewHandler(codec exchange.Codec, config func() *routing.Config, d *Dispatcher, service string) *Handler {
+	return &Handler{codec: codec, config: config, dispatch: d, service: service, log: d.parts.Log, metrics: d.parts.Metrics}
 }
 
 // ServeHTTP implements http.Handler.
@@ -47,22 +48,24 @@
 	head, headErr := h.codec.Request(r.Header)
 	config := h.config()
 	if config == nil {
+		h.log.Notable("request refused", "id", head.ID, "reason", "no configuration")
 		h.refuse(w, head.ID, http.StatusServiceUnavailable, startRetry, "no configuration")
 		return
 	}
 	route := config.Lookup(r.Host, r.URL.Path)
 	if route == nil {
-		h.log.Info("no route", "id", head.ID, "host", r.Host, "path", r.URL.Path, "config", config.Version)
+		h.log.Notable("no route", "id", head.ID, "host", r.Host, "path", r.URL.Path, "config", config.Version)
 		h.refuse(w, head.ID, http.StatusNotFound, 0, "no route")
 		return
 	}
 	if headErr != nil {
-		h.log.Info("request malformed", "id", head.ID, "cause", headErr.Error())
+		h.log.Notable("request malformed", "id", head.ID, "cause", headErr.Error())
 		h.refuse(w, head.ID, http.StatusBadRequest, 0, headErr.Error())
 		return
 	}
 	if limit := config.Limits.BodyBytes; limit > 0 {
 		if r.ContentLength > limit {
+			h.log.Notable("request too long", "id", head.ID, "bytes", r.ContentLength, "limit", limit, "config", config.Version)
 			h.refuse(w, head.ID, http.StatusRequestEntityTooLarge, 0, "body too long")
 			return
 		}
@@ -70,7 +73,7 @@
 	}
 	body, err := relay.ReadBody(r.Body, r.ContentLength)
 	if err != nil {
-		h.log.Info("request not read", "id", head.ID, "cause", err.Error())
+		h.log.Notable("request not read", "id", head.ID, "cause", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	request := h.request(r, head, config, route, body, arrived)
@@ -103,21 +106,21 @@
 	}
 }
 
-// report logs how a request ended.
+// report logs and counts how a request ended.
 func (h *Handler) report(r *relay.Request, route *routing.Route, config *routing.Config, result relay.Result, arrived time.Time) {
-	if result.Outcome == outcome.Answered && result.Answer.Status < http.StatusInternalServerError {
-		h.log.Debug("request ended", "id", r.ID, "route", route.Name, "target", result.Target, "status", result.Answer.Status,
-			"took_ms", time.Since(arrived).Milliseconds())
-		return
-	}
-	status := 0
+	took := time.Since(arrived)
+	h.metrics.Ended(r.Kind.String(), result.End, took)
+	write, status := h.log.Notable, 0
 	if result.Answer != nil {
 		status = result.Answer.Status
 	}
-	h.log.Info("request ended", "id", r.ID, "route", route.Name, "kind", route.Kind.String(), "config", config.Version,
-		"service", r.Service, "key", r.Key, "outcome", result.Outcome.String(), "reason", string(result.Reason),
+	if result.Outcome == outcome.Answered && status < http.StatusInternalServerError {
+		write = h.log.Plain
+	}
+	write("request ended", "id", r.ID, "route", route.Name, "kind", route.Kind.String(), "config", config.Version,
+		"service", r.Service, "key", r.Key, "table", r.Table, "outcome", result.Outcome.String(), "reason", string(result.Reason),
 		"status", status, "target", result.Target, "detail", result.Detail,
-		"took_ms", time.Since(arrived).Milliseconds(), "left_ms", r.Left().Milliseconds())
+		"took_ms", took.Milliseconds(), "left_ms", r.Left().Milliseconds())
 }
 
 // answer writes the one answer of a request.
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -223,9 +223,12 @@
 	}
 	// A revocation does not begin the time of silence anew.
 	renewed := p.entry == nil || p.entry.isRenewedBy(entry)
-	p.entry, p.version, p.replaced = entry, version, false
+	p.entry, p.version = entry, version
 	o.ballot.Revoked(entry.Name, revokedVersion(entry, version))
-	o.noteReplaced(p)
+	if entry.RevokedBy == "" {
+		p.replaced = false
+		o.noteReplaced(p)
+	}
 	if entry.Name != o.cfg.Self.Name {
 		o.cfg.Measure.Learn(entry.Name, entry.Suspects)
 	}
@@ -234,8 +237,9 @@
 	}
 }
 
-// noteReplaced marks the nodes whose address a later entry names: an address is given to another
-// VM only after the former one is gone. The caller holds the lock.
+// noteReplaced marks the nodes whose address a later entry names, which its node has written
+// itself: an address is given to another VM only after the former one is gone. The caller holds
+// the lock.
 func (o *Ownership) noteReplaced(latest *peer) {
 	for name, p := range o.peers {
 		if p != latest && p.entry != nil && p.entry.Address == latest.entry.Address && p.version < latest.version && !p.replaced {
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -198,6 +198,13 @@
 	l.granted[slice] = 0
 }
 
+// LeaseLeft returns how long the node's lease still runs.
+func (o *Ownership) LeaseLeft() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lease.Left(o.cfg.Clock())
+}
+
 // Status is what the admin listener shows.
 type Status struct {
 	Node       string           `json:"node"`
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -45,6 +45,8 @@
 	Kind          routing.Kind
 	Priority      int
 	Objective     time.Duration
+	// Table is the version of the table that named the owner; zero for a shared service.
+	Table int64
 	// Deadline is when the caller or the route's timeout ends the wait.
 	Deadline time.Time
 }
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/auburnrelay/auburnrelay/node/logsink"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/storelink"
+	"github.com/auburnrelay/auburnrelay/node/telemetry"
 	"github.com/auburnrelay/auburnrelay/node/voting"
 	"github.com/auburnrelay/auburnrelay/objects/client"
 	"github.com/auburnrelay/auburnrelay/platform"
@@ -179,20 +180,41 @@
 	codec := platform.Headers{}
 	targetPool := h1.NewPool(h1.Options{DialTimeout: dialTime, IdleTimeout: targetIdle, Silence: silenceTime, MaxConns: targetConns})
 	d.pools = []*h1.Pool{targetPool, d.peerPool}
-	d.guard = guard.New(d.ownership, targetPool, codec, d.log.With("part", "guard"))
+	metrics := telemetry.NewMetrics(d.registry)
+	requests := func(part string) *telemetry.RequestLog {
+		return telemetry.NewRequestLog(d.log.With("part", part), metrics)
+	}
+	d.gauges()
+	d.guard = guard.New(d.ownership, targetPool, codec, metrics, d.log.With("part", "guard"))
 	d.ownership.SetMeasure(d.guard)
 	policy := retry.DefaultPolicy()
 	policy.Ratio = d.settings.Bounds.RetryRatio * retryPart
 	policy.Burst = max(1, d.settings.Bounds.RetrySlack*retryPart/retryNodes)
 	dispatcher := ingress.NewDispatcher(ingress.Parts{
 		View: d.ownership.View, Local: d.guard.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy,
-		Region: d.settings.Node.Region, Log: d.log.With("part", "dispatch"),
+		Region: d.settings.Node.Region, Log: requests("ingress"), Metrics: metrics,
 	})
-	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service, d.log.With("part", "ingress"))
-	peers := hop.NewServer(d.settings.Node.Name, codec, d.guard.Serve, d.log.With("part", "hop"))
+	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service)
+	peers := hop.NewServer(d.settings.Node.Name, codec, d.guard.Serve, requests("hop"))
 	return d.servers.open(d, callers, d.peerHandler(peers))
 }
 
+// gauges registers what is read when it is asked for.
+func (d *Daemon) gauges() {
+	telemetry.Gauge(d.registry, "config_version", "Version of the configuration in force; 0 before one is known.", func() float64 {
+		if c := d.config.current(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	telemetry.Gauge(d.registry, "lease_left_seconds", "Time until the node's lease ends.", func() float64 {
+		return d.ownership.LeaseLeft().Seconds()
+	})
+	telemetry.Gauge(d.registry, "log_lines_dropped", "Log lines dropped since the start because the output was stuck.", func() float64 {
+		return float64(d.sink.Dropped())
+	})
+}
+
 // peerHandler serves other nodes: requests for the local target, calls of the store, and votes.
 func (d *Daemon) peerHandler(requests *hop.Server) http.Handler {
 	votes := voting.Handler(d.settings.Node.Name, d.ownership.Vote)
--- /dev/null
+++ b/node/telemetry/metrics.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+const namespace = "auburnrelay"
+
+// Buckets of the histograms in seconds, from the store's 4 ms to the longest timeouts of routes.
+var buckets = []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4}
+
+// Metrics are a node's counters and histograms of requests. All label values come from fixed
+// lists.
+type Metrics struct {
+	requests     *prometheus.CounterVec
+	latency      *prometheus.HistogramVec
+	sends        *prometheus.CounterVec
+	waits        *prometheus.HistogramVec
+	target       *prometheus.HistogramVec
+	linesLeftOut prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Callers' requests by kind, outcome and reason.",
+		}, []string{"kind", "outcome", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time from a request's head to its outcome.", Buckets: buckets,
+		}, []string{"kind"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "resends_total", Help: "Further sends of a request, by the reason of the one before.",
+		}, []string{"reason"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "slot_wait_seconds", Help: "Wait for a slot of the local target.", Buckets: buckets,
+		}, []string{"kind"}),
+		target: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "target_seconds", Help: "Time of a request at the local target.", Buckets: buckets,
+		}, []string{"kind", "outcome"}),
+		linesLeftOut: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "log_lines_left_out_total", Help: "Lines on requests left out to bound the log.",
+		}),
+	}
+	r.MustRegister(m.requests, m.latency, m.sends, m.waits, m.target, m.linesLeftOut)
+	return m
+}
+
+// Ended counts a caller's request that took the time.
+func (m *Metrics) Ended(kind string, end outcome.End, took time.Duration) {
+	m.requests.WithLabelValues(kind, end.Outcome.String(), string(end.Reason)).Inc()
+	m.latency.WithLabelValues(kind).Observe(took.Seconds())
+}
+
+// SentAgain counts a further send after one that ended for the reason.
+func (m *Metrics) SentAgain(reason outcome.Reason) { m.sends.WithLabelValues(string(reason)).Inc() }
+
+// Waited records a wait for a slot.
+func (m *Metrics) Waited(kind string, d time.Duration) {
+	m.waits.WithLabelValues(kind).Observe(d.Seconds())
+}
+
+// AtTarget records the time of a request at the local target.
+func (m *Metrics) AtTarget(kind string, o outcome.Outcome, d time.Duration) {
+	m.target.WithLabelValues(kind, o.String()).Observe(d.Seconds())
+}
+
+// Gauge registers a gauge that is read when it is asked for.
+func Gauge(r prometheus.Registerer, name, help string, read func() float64) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
