Remove entries of nodes that are gone; take back the listener's last accepts

Nothing in the store expires by itself: the first live node removes the entry of a node that was silent for a minute and owns nothing. Tests: TestForgottenEntries, and TestWalk now plays removals.

--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,6 @@
 	"github.com/auburnrelay/auburnrelay/node/control"
 	"github.com/auburnrelay/auburnrelay/node/entry"
 	"github.com/auburnrelay/auburnrelay/node/forward"
-	"github.com/auburnrelay/auburnrelay/node/lastaccept"
 	"github.com/auburnrelay/auburnrelay/node/ledger"
 	"github.com/auburnrelay/auburnrelay/node/owner"
 	"github.com/auburnrelay/auburnrelay/node/plane"
@@ -257,9 +256,7 @@
 		if err != nil {
 			return errors.Wrap(err, w.field)
 		}
-		if *w.into, err = lastaccept.Wrap(l); err != nil {
-			return errors.Wrap(err, w.field)
-		}
+		*w.into = l
 	}
 	return nil
 }
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -168,6 +168,7 @@
 		if err == nil {
 			list = o.store.ListStale
 			o.observeAll(listing)
+			o.removeForgotten(ctx)
 		} else {
 			o.cfg.Log.Warn("entries not read", "cause", err.Error())
 		}
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -240,6 +240,33 @@
 	}
 }
 
+// TestForgottenEntries names only entries of nodes that are silent for long and own nothing.
+func TestForgottenEntries(t *testing.T) {
+	r := newRig(t)
+	r.cfg.Timing.Forget = 60 * second
+	entry := func(name string) *Entry { return &Entry{Name: name, Address: name, LeaseMillis: 4000} }
+	r.observe(entry("vm-2"), 10, r.now)
+	r.now += 61 * second
+	if name, _ := r.forgotten(r.now); name != "" {
+		t.Errorf("%s is forgotten too soon", name)
+	}
+	r.now += second
+	if name, version := r.forgotten(r.now); name != "vm-2" || version != 10 {
+		t.Errorf("got %q at version %d", name, version)
+	}
+	r.observe(entry("vm-0"), 11, r.now)
+	if name, _ := r.forgotten(r.now); name != "" {
+		t.Errorf("%s is removed by a node that is not the first", name)
+	}
+	r.now += 62 * second
+	table := holding.NewTable("s")
+	table.Assign([]holding.Candidate{{Owner: holding.Owner{Node: "vm-0"}}, {Owner: holding.Owner{Node: "vm-2"}}})
+	r.setTable(table)
+	if name, _ := r.forgotten(r.now); name != "" {
+		t.Errorf("%s still has slices", name)
+	}
+}
+
 // TestKeyedRequestBeforeTheConfiguration refuses a keyed request on a node that knows neither the
 // configuration nor a table: its target would refuse it.
 func TestKeyedRequestBeforeTheConfiguration(t *testing.T) {
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -61,6 +61,8 @@
 	Extend time.Duration
 	// ExtendLimit is how long after its last renewal a lease may be extended.
 	ExtendLimit time.Duration
+	// Forget is how long a node must be silent until its entry is removed; longer than ExtendLimit.
+	Forget time.Duration
 	// HoldMax is the longest grant that a target accepts.
 	HoldMax time.Duration
 	// Silence is how long a target may be silent before it is no longer offered to others.
--- a/node/ownership/walk_test.go
+++ b/node/ownership/walk_test.go
@@ -130,7 +130,7 @@
 		Timing: Timing{
 			Lease: 4 * second, Renew: 1200 * time.Millisecond, Look: second, Act: 200 * time.Millisecond,
 			Rank: 400 * time.Millisecond, Gather: second, Settle: 2 * second, HoldMax: 10 * second, Silence: 4 * second,
-			DrainGrace: 1600 * time.Millisecond, Promise: 3 * second, Extend: 500 * time.Millisecond, ExtendLimit: 15 * second,
+			DrainGrace: 1600 * time.Millisecond, Promise: 3 * second, Extend: 500 * time.Millisecond, ExtendLimit: 15 * second, Forget: 16 * second,
 		},
 		Clock:      func() time.Duration { return time.Duration(n.rate * float64(n.world.now)) },
 		IsKeyed:    func(string) bool { return true },
@@ -259,7 +259,19 @@
 }
 
 // Delete implements Store.
-func (n *walker) Delete(context.Context, string, objects.Version) error { return objects.ErrConflict }
+func (n *walker) Delete(_ context.Context, key string, expected objects.Version) error {
+	n.world.pass()
+	if err := n.reaches(); err != nil {
+		return err
+	}
+	s := &n.world.store
+	if s.objects[key].Version != expected {
+		return errors.WithStack(objects.ErrConflict)
+	}
+	s.version++
+	delete(s.objects, key)
+	return nil
+}
 
 // Poll implements Store.
 func (n *walker) Poll(context.Context, string, objects.Version) (objects.Batch, error) {
@@ -340,6 +352,7 @@
 	if l, err := list(ctx, NodesPrefix); err == nil {
 		n.looked = true
 		n.observeAll(l)
+		n.removeForgotten(ctx)
 	}
 }
 
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -44,6 +44,9 @@
 	// extendLimit is more than the longest outage of the store that is to be borne (12 s). When
 	// more than half of a lost node's voters are lost with it, its keys wait as long.
 	extendLimit = 15 * time.Second
+	// forgetTime is after every lease of a lost node has ended and its keys have gone to others; so
+	// few entries of the dead are kept that listings stay short.
+	forgetTime = time.Minute
 	// lookTime is how long a change of another node's target goes unnoticed at most.
 	lookTime = time.Second
 	// actTime bounds the delay of what no message announces, such as a lapse.
@@ -169,7 +172,7 @@
 		Lease: leaseTime, Renew: renewTime, Look: lookTime, Act: actTime, Rank: rankTime, Gather: gatherTime, Settle: settleTime,
 		// A promise outlasts a round that fails and a heartbeat that is missed.
 		Promise: 2*extendTime + 2*d.settings.Target.HeartbeatSeconds.Duration(),
-		Extend:  extendTime, ExtendLimit: extendLimit,
+		Extend:  extendTime, ExtendLimit: extendLimit, Forget: forgetTime,
 		HoldMax: b.HoldMaxSeconds.Duration(), Silence: silentBeats * d.settings.Target.HeartbeatSeconds.Duration(),
 		DrainGrace: max(0, b.DrainSeconds.Duration()-drainMargin),
 	}
