Shorten leases to a heartbeat and two renewals

Cause: keys of a VM that is lost without a word were unserved for about 4.4 s, target 3 s. The lease of 4 s was as long to bridge outages of the store, which promises of other nodes do now. Change: 2.77 s with heartbeats each 0.87 s, 3.4 s with heartbeats each 1.5 s; renewals and looks each 0.8 s.

--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -34,11 +34,11 @@
 )
 
 const (
-	// leaseTime is how long a node keeps its keys after the last renewal: a lost node's keys are
-	// served again a little later, and an outage of the store of that length costs none.
-	leaseTime = 4 * time.Second
-	// renewTime leaves a renewal three tries within a lease.
-	renewTime = 1200 * time.Millisecond
+	// renewTime is the time between two renewals of the lease.
+	renewTime = 800 * time.Millisecond
+	// leaseMargin is the part of the lease that a slow renewal may use up (the store answers in
+	// 240 ms when it is slow).
+	leaseMargin = 300 * time.Millisecond
 	// extendTime is the time between two rounds of asking for promises.
 	extendTime = 500 * time.Millisecond
 	// extendLimit is more than the longest outage of the store that is to be borne (12 s). When
@@ -48,7 +48,7 @@
 	// few entries of the dead are kept that listings stay short.
 	forgetTime = time.Minute
 	// lookTime is how long a change of another node's target goes unnoticed at most.
-	lookTime = time.Second
+	lookTime = 800 * time.Millisecond
 	// actTime bounds the delay of what no message announces, such as a lapse.
 	actTime = 200 * time.Millisecond
 	// rankTime is a few round trips to the store, so that the first node's write is seen before
@@ -154,7 +154,7 @@
 	d.ownership = ownership.New(ownership.Config{
 		Self: ownership.Entry{
 			Name: s.Node.Name, Incarnation: ulid.Make().String(), Address: s.Listen.Peers,
-			Region: s.Node.Region, FailureDomain: s.Node.FailureDomain, LeaseMillis: leaseTime.Milliseconds(),
+			Region: s.Node.Region, FailureDomain: s.Node.FailureDomain, LeaseMillis: d.leaseTime().Milliseconds(),
 		},
 		Timing:     d.timing(),
 		Clock:      bootclock.Now,
@@ -166,10 +166,17 @@
 	return d, d.provision()
 }
 
+// leaseTime is how long a node keeps its keys after the last renewal: through one renewal that
+// fails, until the target's next heartbeat has fetched a grant. Longer leases cost the keys of each
+// lost node as long; outages of the store are bridged by promises of other nodes.
+func (d *Daemon) leaseTime() time.Duration {
+	return 2*renewTime + d.settings.Target.HeartbeatSeconds.Duration() + leaseMargin
+}
+
 func (d *Daemon) timing() ownership.Timing {
 	b := d.settings.Bounds
 	return ownership.Timing{
-		Lease: leaseTime, Renew: renewTime, Look: lookTime, Act: actTime, Rank: rankTime, Gather: gatherTime, Settle: settleTime,
+		Lease: d.leaseTime(), Renew: renewTime, Look: lookTime, Act: actTime, Rank: rankTime, Gather: gatherTime, Settle: settleTime,
 		// A promise outlasts a round that fails and a heartbeat that is missed.
 		Promise: 2*extendTime + 2*d.settings.Target.HeartbeatSeconds.Duration(),
 		Extend:  extendTime, ExtendLimit: extendLimit, Forget: forgetTime,
