--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -23,6 +23,7 @@
 
 	"github.com/auburnrelay/auburnrelay/objects"
 	"github.com/auburnrelay/auburnrelay/objects/memstore"
+	"github.com/auburnrelay/auburnrelay/platform/body"
 	"github.com/auburnrelay/auburnrelay/platform/objectstore"
 )
 
@@ -50,6 +51,8 @@
 	ReadsPerSecond  float64
 	WritesPerSecond float64
 	Memory          memstore.Options
+	// Encoding is that of the bodies; JSON by default.
+	Encoding body.Encoding
 }
 
 // Server is the stand-in's http.Handler. It is safe for concurrent use.
@@ -59,6 +62,8 @@
 	reads  *rate.Limiter
 	writes *rate.Limiter
 	counts counts
+	// encoding is that of the bodies outside; the handlers work with JSON.
+	encoding body.Encoding
 }
 
 // New returns a server with an empty store.
@@ -71,10 +76,11 @@
 	}
 	o.Memory.MaxValueBytes = maxSpecBytes
 	s := &Server{
-		echo:   echo.New(),
-		memory: memstore.New(o.Memory),
-		reads:  newLimiter(o.ReadsPerSecond),
-		writes: newLimiter(o.WritesPerSecond),
+		echo:     echo.New(),
+		memory:   memstore.New(o.Memory),
+		encoding: o.Encoding,
+		reads:    newLimiter(o.ReadsPerSecond),
+		writes:   newLimiter(o.WritesPerSecond),
 	}
 	s.echo.HTTPErrorHandler = handleError
 	s.echo.GET("/objects/:kind", s.get, s.limit(s.reads))
@@ -94,9 +100,49 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.encoding == body.CBOR && strings.HasPrefix(r.URL.Path, "/objects/") {
+		s.serveEncoded(w, r)
+		return
+	}
 	s.echo.ServeHTTP(w, r)
 }
 
+// serveEncoded converts the bodies of a call from and to the encoding.
+func (s *Server) serveEncoded(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err == nil {
+		data, err = s.encoding.ToJSON(data)
+	}
+	if err != nil {
+		http.Error(w, "body cannot be read", http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	answer := &held{header: w.Header(), status: http.StatusOK}
+	s.echo.ServeHTTP(answer, r)
+	data = answer.body.Bytes()
+	if answer.status/100 == 2 {
+		if data, err = s.encoding.FromJSON(data); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", s.encoding.ContentType())
+	}
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(data)
+}
+
+// held is an answer that waits to be converted.
+type held struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (h *held) Header() http.Header         { return h.header }
+func (h *held) WriteHeader(status int)      { h.status = status }
+func (h *held) Write(p []byte) (int, error) { return h.body.Write(p) }
+
 // Memory returns the store behind the server, for tests in the same process.
 func (s *Server) Memory() *memstore.Store { return s.memory }
 
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -15,6 +15,7 @@
 	"github.com/auburnrelay/auburnrelay/objects"
 	"github.com/auburnrelay/auburnrelay/objects/contract"
 	"github.com/auburnrelay/auburnrelay/objects/memstore"
+	"github.com/auburnrelay/auburnrelay/platform/body"
 	"github.com/auburnrelay/auburnrelay/platform/objectstore"
 )
 
@@ -29,14 +30,21 @@
 }
 
 func TestContract(t *testing.T) {
+	for _, encoding := range []body.Encoding{body.JSON, body.CBOR} {
+		t.Run(string(encoding), func(t *testing.T) { runContract(t, encoding) })
+	}
+}
+
+func runContract(t *testing.T, encoding body.Encoding) {
 	contract.Run(t, func(t *testing.T) contract.Harness {
 		url := open(t, Options{
 			ReadsPerSecond:  unlimited,
 			WritesPerSecond: unlimited,
 			Memory:          memstore.Options{History: contract.History},
+			Encoding:        encoding,
 		})
 		return contract.Harness{
-			Store:     objectstore.New(url, objectstore.Options{PollWait: contract.PollWait}),
+			Store:     objectstore.New(url, objectstore.Options{PollWait: contract.PollWait, Encoding: encoding}),
 			SetFaults: func(f memstore.Faults) { postFaults(t, url, f) },
 		}
 	})
