--- /dev/null
+++ b/core/holding/moves_test.go
@@ -0,0 +1,164 @@
+package holding
+
+import (
+	"testing"
+	"time"
+)
+
+// settleMoves carries out all moves that a table plans, measured anew after each round.
+func settleMoves(t *testing.T, table *Table, measured func() []Candidate) (moved int) {
+	t.Helper()
+	const rounds = 10
+	for range rounds {
+		if !table.Move(measured(), true) {
+			return moved
+		}
+		for i, s := range table.Slices {
+			if s.Next >= 0 {
+				table.Release(i, "")
+				moved++
+			}
+		}
+	}
+	t.Errorf("slices still move after %d rounds", rounds)
+	return moved
+}
+
+// TestLoadFollowsCapacity gives targets of different speed keys in proportion, and moves nothing
+// when that is so.
+func TestLoadFollowsCapacity(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b", "c")
+	table.Assign(all)
+	perSlice := 128.0 / Slices
+	measured := func() []Candidate {
+		list := append([]Candidate(nil), all...)
+		for i, capacity := range []float64{60, 100, 140} {
+			list[i].Capacity = capacity
+			list[i].Rate = perSlice * float64(count(table)[list[i].Owner.Node])
+		}
+		return list
+	}
+	if settleMoves(t, table, measured) != 0 {
+		t.Error("slices move though no target is strained")
+	}
+	perSlice = 294.4 / Slices
+	moved := settleMoves(t, table, measured)
+	got := count(table)
+	for i, want := range []float64{0.2, 0.333, 0.467} {
+		share := float64(got[all[i].Owner.Node]) / Slices
+		if share > want*(1+excess) || share < want*(1-2*excess) {
+			t.Errorf("%s has a share of %.3f, want about %.3f", all[i].Owner.Node, share, want)
+		}
+	}
+	if moved > Slices/4 {
+		t.Errorf("%d slices moved", moved)
+	}
+	if again := settleMoves(t, table, measured); again != 0 {
+		t.Errorf("%d slices move without a change", again)
+	}
+}
+
+// TestHotSliceIsLeftAlone gives a target one slice with half of all requests: its other slices
+// move away.
+func TestHotSliceIsLeftAlone(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b", "c", "d")
+	table.Assign(all)
+	measured := func() []Candidate {
+		list := append([]Candidate(nil), all...)
+		for i := range list {
+			list[i].Capacity = 80
+			list[i].Hot = map[int]float64{}
+			for slice := range table.Slices {
+				o, _ := table.OwnerOf(slice)
+				switch {
+				case o != list[i].Owner:
+				case slice == 7:
+					list[i].Rate += 100
+					list[i].Hot[7] = 100
+				default:
+					list[i].Rate += 100.0 / (Slices - 1)
+				}
+			}
+		}
+		return list
+	}
+	settleMoves(t, table, measured)
+	at, _ := table.OwnerOf(7)
+	if n := count(table)[at.Node]; n > Slices/8 {
+		t.Errorf("the owner of the hot slice keeps %d others", n)
+	}
+}
+
+func TestBuriedOwnersGetNothing(t *testing.T) {
+	table := NewTable("s")
+	all := owners("a", "b")
+	table.Assign(all)
+	table.Free(all[0].Owner)
+	table.Bury(all[0].Owner)
+	table.Assign(all)
+	table.Move(all, true)
+	if got := count(table); got["b"] != Slices || table.IsMoving() {
+		t.Errorf("got %v", got)
+	}
+	if !table.Revive(all[0].Owner) || table.Revive(all[0].Owner) || !table.Move(all, true) {
+		t.Error("an owner that is back is given nothing")
+	}
+}
+
+func TestMeter(t *testing.T) {
+	var m Meter
+	for second := 1; second <= 8; second++ {
+		for i := range Slices {
+			m.Arrived(i * SliceKeys)
+		}
+		for range 100 {
+			m.Arrived(7 * SliceKeys)
+		}
+		for range 10 {
+			m.Served(50 * time.Millisecond)
+		}
+		load := m.Read(time.Duration(second)*time.Second, 6)
+		if (load.Capacity > 0) != (10*second >= minServed) {
+			t.Errorf("capacity %v after %d requests", load.Capacity, 10*second)
+		}
+		if second < 8 {
+			continue
+		}
+		if load.Capacity != 120 || load.Rate < Slices+97 || load.Rate > Slices+103 || len(load.Hot) != 1 || load.Hot[7] < 100 {
+			t.Errorf("got %+v", load)
+		}
+	}
+}
+
+// TestEveryKeyIsGrantedAfterLosses starts with some targets and loses one after the other: the
+// survivors' grants fit into their answers each time.
+func TestEveryKeyIsGrantedAfterLosses(t *testing.T) {
+	for n := 1; n <= 7; n++ {
+		table := NewTable("s")
+		all := owners("a", "b", "c", "d", "e", "f", "g")[:n]
+		table.Assign(all)
+		for left := n; left > 0; left-- {
+			if left < n {
+				table.Free(all[left].Owner)
+				table.Assign(all[:left])
+				table.Level(all[:left], answerSize)
+			}
+			granted := 0
+			for _, c := range all[:left] {
+				var held []Held
+				for _, g := range table.Grants(c.Owner, nil, answerSize) {
+					held = append(held, Held{From: g.From, To: g.To, Fence: g.Fence})
+					granted += (g.To - g.From + 1) / SliceKeys
+				}
+				if again := table.Grants(c.Owner, held, answerSize); len(again) != len(held) {
+					t.Errorf("%d of %d targets: %d grants, then %d", left, n, len(held), len(again))
+				}
+			}
+			if granted != Slices {
+				t.Errorf("%d of %d targets: %d of %d slices granted", left, n, granted, Slices)
+			}
+		}
+	}
+}
--- a/node/ownership/walk_test.go
+++ b/node/ownership/walk_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -35,30 +34,6 @@
 	served time.Duration
 }
 
-// walkStore is the store as the nodes share it.
-type walkStore struct {
-	objects map[string]objects.Object
-	version objects.Version
-	down    time.Duration
-	// late are writes that take effect later if their condition still holds.
-	late []lateWrite
-	// loses and delays are the shares of writes whose answer is lost, and that are done later.
-	loses, delays float64
-	// copies are former states for stale listings.
-	copies []walkCopy
-}
-
-type lateWrite struct {
-	at       time.Duration
-	object   objects.Object
-	expected objects.Version
-}
-
-type walkCopy struct {
-	at      time.Duration
-	listing objects.Listing
-}
-
 // walker is one node with its target.
 type walker struct {
 	*Ownership
@@ -77,26 +52,6 @@
 	target                     *walkTarget
 }
 
-// walkTarget is one life of a target.
-type walkTarget struct {
-	id       string
-	born     int64
-	sequence int64
-	nextBeat time.Duration
-	dead     time.Duration
-	slices   [holding.Slices]walkHold
-	freed    map[int]string
-	draining bool
-}
-
-type walkHold struct {
-	fence int64
-	until time.Duration
-	// busy is when the last work on the slice ends.
-	busy time.Duration
-	held bool
-}
-
 func newWorld(t *testing.T, seed uint64, nodes int) *world {
 	w := &world{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1))}
 	w.store.objects = make(map[string]objects.Object)
@@ -109,13 +64,6 @@
 	return w
 }
 
-func (w *world) newTarget(i int) *walkTarget {
-	return &walkTarget{
-		id: fmt.Sprintf("t-%d", i), born: int64(w.now/time.Millisecond) + 1, freed: make(map[int]string),
-		nextBeat: w.now + w.upTo(time.Second),
-	}
-}
-
 func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.random.Int64N(int64(d))) }
 
 func (w *world) chance(share float64) bool { return w.random.Float64() < share }
@@ -171,113 +119,6 @@
 	w.run(w.now + d)
 }
 
-func (n *walker) reaches() error {
-	if w := n.world; w.now < w.store.down || w.now < n.cutStore {
-		return errors.WithStack(objects.ErrUnavailable)
-	}
-	return nil
-}
-
-// Get implements Store.
-func (n *walker) Get(_ context.Context, key string) (objects.Object, error) {
-	n.world.pass()
-	if err := n.reaches(); err != nil {
-		return objects.Object{}, err
-	}
-	o, ok := n.world.store.objects[key]
-	n.world.pass()
-	if !ok {
-		return o, errors.WithStack(objects.ErrNotFound)
-	}
-	return o, nil
-}
-
-// Put implements Store.
-func (n *walker) Put(_ context.Context, key string, value []byte, expected objects.Version, id string) (objects.Version, error) {
-	w := n.world
-	w.pass()
-	if err := n.reaches(); err != nil {
-		return 0, err
-	}
-	write := lateWrite{object: objects.Object{Key: key, Value: value, WriteID: id}, expected: expected}
-	if w.chance(w.store.delays) {
-		write.at = w.now + w.upTo(6*second)
-		w.store.late = append(w.store.late, write)
-		return 0, errors.WithStack(objects.ErrUnknownOutcome)
-	}
-	version, ok := w.store.apply(write)
-	lost := w.chance(w.store.loses)
-	w.pass()
-	switch {
-	case lost:
-		return 0, errors.WithStack(objects.ErrUnknownOutcome)
-	case !ok:
-		return 0, errors.WithStack(objects.ErrConflict)
-	default:
-		return version, nil
-	}
-}
-
-func (s *walkStore) apply(w lateWrite) (objects.Version, bool) {
-	if s.objects[w.object.Key].Version != w.expected {
-		return 0, false
-	}
-	s.version++
-	w.object.Version = s.version
-	s.objects[w.object.Key] = w.object
-	return s.version, true
-}
-
-func (s *walkStore) listing() objects.Listing {
-	l := objects.Listing{Version: s.version}
-	for key, o := range s.objects {
-		if strings.HasPrefix(key, NodesPrefix) {
-			l.Objects = append(l.Objects, o)
-		}
-	}
-	return l
-}
-
-// List implements Store.
-func (n *walker) List(context.Context, string) (objects.Listing, error) {
-	if err := n.reaches(); err != nil {
-		return objects.Listing{}, err
-	}
-	return n.world.store.listing(), nil
-}
-
-// ListStale implements Store.
-func (n *walker) ListStale(context.Context, string) (objects.Listing, error) {
-	if err := n.reaches(); err != nil {
-		return objects.Listing{}, err
-	}
-	copies := n.world.store.copies
-	if len(copies) == 0 || n.world.chance(0.5) {
-		return n.world.store.listing(), nil
-	}
-	return copies[n.world.random.IntN(len(copies))].listing, nil
-}
-
-// Delete implements Store.
-func (n *walker) Delete(_ context.Context, key string, expected objects.Version) error {
-	n.world.pass()
-	if err := n.reaches(); err != nil {
-		return err
-	}
-	s := &n.world.store
-	if s.objects[key].Version != expected {
-		return errors.WithStack(objects.ErrConflict)
-	}
-	s.version++
-	delete(s.objects, key)
-	return nil
-}
-
-// Poll implements Store.
-func (n *walker) Poll(context.Context, string, objects.Version) (objects.Batch, error) {
-	return objects.Batch{}, objects.ErrUnavailable
-}
-
 // walkStep is the time that passes between two looks at all nodes.
 const walkStep = 20 * time.Millisecond
 
@@ -364,85 +205,6 @@
 	}
 }
 
-// beat lets the target send its heartbeat when it is due.
-func (n *walker) beat() {
-	w, t := n.world, n.target
-	if n.gone || t == nil || w.now < t.dead || w.now < t.nextBeat || w.now < n.frozen {
-		return
-	}
-	t.nextBeat = w.now + 870*time.Millisecond
-	t.sequence++
-	report := holding.Report{
-		ID: t.id, Address: n.name, Service: walkService, Slots: 6, Born: t.born, Sequence: t.sequence, Draining: t.draining,
-	}
-	for i := range t.slices {
-		if t.holds(i, w.now) || t.slices[i].busy > w.now {
-			report.Held = append(report.Held, holding.Held{From: i * holding.SliceKeys, To: (i+1)*holding.SliceKeys - 1, Fence: t.slices[i].fence})
-		}
-	}
-	for i, token := range t.freed {
-		report.Freed = append(report.Freed, holding.Freed{From: i * holding.SliceKeys, To: (i+1)*holding.SliceKeys - 1, Handover: token})
-	}
-	grants, hold := n.Heartbeat(report)
-	t.freed = make(map[int]string)
-	if hold > 0 {
-		t.take(w, n.name, grants, hold)
-	}
-}
-
-func (t *walkTarget) holds(slice int, now time.Duration) bool {
-	return t.slices[slice].held && now < t.slices[slice].until
-}
-
-// take carries out an answer. The target's clock runs 2 % slow.
-func (t *walkTarget) take(w *world, name string, grants []holding.Grant, hold time.Duration) {
-	var named [holding.Slices]bool
-	until := w.now + hold*102/100
-	for _, g := range grants {
-		for i := holding.SliceOf(g.From); i <= holding.SliceOf(g.To); i++ {
-			named[i] = true
-			h := &t.slices[i]
-			if !t.holds(i, w.now) {
-				w.begins(t, name, i, g.Fence)
-			}
-			h.held, h.fence, h.until = true, g.Fence, until
-			if w.chance(0.02) {
-				h.busy = w.now + w.upTo(700*time.Millisecond)
-			}
-		}
-	}
-	for i := range t.slices {
-		if h := &t.slices[i]; h.held && !named[i] {
-			if w.now < h.until {
-				t.freed[i] = "token"
-				t.nextBeat = w.now + 100*time.Millisecond
-			}
-			h.held = false
-		}
-		if t.slices[i].busy > w.now && !t.slices[i].held {
-			t.nextBeat = w.now + 100*time.Millisecond
-		}
-	}
-}
-
-// begins checks a slice that a target takes.
-func (w *world) begins(t *walkTarget, name string, slice int, fence int64) {
-	if fence < w.fences[slice] {
-		w.fail("%s takes slice %d with token %d after %d", name, slice, fence, w.fences[slice])
-	}
-	for _, other := range w.nodes {
-		if o := other.target; o != nil && o != t && !other.gone && w.now >= o.dead {
-			if fence == w.fences[slice] && o.slices[slice].fence == fence {
-				w.fail("%s takes slice %d with the token %d of %s", name, slice, fence, other.name)
-			}
-			if o.slices[slice].busy > w.now && o.holds(slice, w.now) {
-				w.fail("%s takes slice %d on which %s works", name, slice, other.name)
-			}
-		}
-	}
-	w.fences[slice] = fence
-}
-
 // check looks for slices with two holders.
 func (w *world) check() {
 	var holder [holding.Slices]string
