--- a/cmd/auburnrelay/command/explain.go
+++ b/cmd/auburnrelay/command/explain.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -70,22 +71,24 @@
 			Events []json.RawMessage `json:"events"`
 		}{s, texts(s.Steps), texts(s.Events)})
 	}
-	fmt.Fprintf(p.Out, "request %s: %s %s\ncause: %s\n\nsteps\n", s.ID, s.Outcome, s.Reason, s.Cause)
-	p.printLines(s.Steps)
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "request %s: %s %s\ncause: %s\n\nsteps\n", s.ID, s.Outcome, s.Reason, s.Cause)
+	writeLines(&text, s.Steps)
 	if len(s.Events) > 0 {
-		fmt.Fprintln(p.Out, "\naround it")
-		p.printLines(s.Events)
+		text.WriteString("\naround it\n")
+		writeLines(&text, s.Events)
 	}
 	if s.LeftOut > 0 {
-		fmt.Fprintf(p.Out, "  and %d more\n", s.LeftOut)
+		fmt.Fprintf(&text, "  and %d more\n", s.LeftOut)
 	}
-	return nil
+	_, err := p.Out.Write(text.Bytes())
+	return errors.Wrap(err, "print")
 }
 
 // hidden are the fields that the columns show already.
 var hidden = []string{"time", "level", "msg", "node", "id"}
 
-func (p *program) printLines(lines []explain.Line) {
+func writeLines(text *bytes.Buffer, lines []explain.Line) {
 	for _, l := range lines {
 		var fields map[string]json.RawMessage
 		// The line was read as an object before.
@@ -97,7 +100,7 @@
 		if err != nil {
 			rest = l.Text
 		}
-		fmt.Fprintf(p.Out, "  %s  %s  %s  %s\n", l.Time.UTC().Format("15:04:05.000"), l.Node, l.Message, rest)
+		fmt.Fprintf(text, "  %s  %s  %s  %s\n", l.Time.UTC().Format("15:04:05.000"), l.Node, l.Message, rest)
 	}
 }
 
