Hold to a target's leaving that was acknowledged before the target was known

The same holds for a word that the former process took. Change: such a word is kept and binds the life that it is of; the node's own former entry says what its former process took. Test: TestLeaveBeforeTheFirstReport (not run against the former code, which it does not compile with).

--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -106,6 +106,10 @@
 		o.cfg.Log.Warn("own entry replaced", "cause", err.Error())
 		return false, nil
 	}
+	if t := entry.Target; t != nil && t.Draining && o.life == nil {
+		// A former process of this node has acknowledged that the target leaves.
+		o.departed[t.ID] = departure{born: t.Born}
+	}
 	if entry.RevokedBy != "" {
 		o.lease.Lost()
 		o.cfg.Log.Warn("lease revoked", "by", entry.RevokedBy, "version", int64(object.Version))
--- a/node/ownership/life.go
+++ b/node/ownership/life.go
@@ -99,12 +99,37 @@
 	if r.Draining {
 		o.life.leftAt = now
 	}
+	if o.hasLeft(r) {
+		o.life.left, o.life.leftAt = true, now
+		o.cfg.Log.Info("target left before it was known", "target", r.ID, "born", r.Born)
+	}
 	o.cfg.Log.Info("target found", "target", r.ID, "born", r.Born, "service", r.Service, "address", r.Address, "slots", r.Slots)
 	o.rebuild(now)
 	signal(o.renew)
 	return o.life
 }
 
+// departure is the word that a target leaves, taken before any of its reports or by a former
+// process of this node.
+type departure struct {
+	// born is the Unix millisecond of the target's start, zero if that is not known, and at that of
+	// the word.
+	born, at int64
+}
+
+// hasLeft reports whether the reported life of the target is one that has said that it leaves: the
+// same id may start again.
+func (o *Ownership) hasLeft(r holding.Report) bool {
+	d, known := o.departed[r.ID]
+	if !known {
+		return false
+	}
+	if d.born != 0 {
+		return d.born == r.Born
+	}
+	return r.Born <= d.at
+}
+
 func (l *life) noteFreed(freed []holding.Freed) {
 	for _, f := range freed {
 		for slice := holding.SliceOf(f.From); slice < holding.Slices && (slice+1)*holding.SliceKeys-1 <= f.To; slice++ {
@@ -171,7 +196,9 @@
 	defer o.mu.Unlock()
 	l := o.life
 	if l == nil || l.report.ID != id || born != 0 && born != l.report.Born {
-		o.cfg.Log.Info("leave ignored", "target", id, "born", born)
+		// A process that has just started does not know its target yet, and its word binds.
+		o.departed[id] = departure{born: born, at: time.Now().UnixMilli()}
+		o.cfg.Log.Info("leave of an unknown target", "target", id, "born", born)
 		return
 	}
 	if !l.isLeaving() {
--- a/node/ownership/life_test.go
+++ b/node/ownership/life_test.go
@@ -281,3 +281,28 @@
 		t.Errorf("a shared request is refused: %v", reason)
 	}
 }
+
+// TestLeaveBeforeTheFirstReport takes the word of a target that leaves before the process knows it,
+// or one that a former process took: the target gets nothing when it reports. A later life of the
+// same id does.
+func TestLeaveBeforeTheFirstReport(t *testing.T) {
+	for name, leave := range map[string]func(r *rig){
+		"without a start": func(r *rig) { r.Leave("i-1", 0) },
+		"with its start":  func(r *rig) { r.Leave("i-1", 5) },
+		"former process":  func(r *rig) { r.departed["i-1"] = departure{born: 5} },
+	} {
+		r := newRig(t)
+		leave(r)
+		if grants := r.beat(); len(grants) != 0 {
+			t.Errorf("%s: granted %v", name, grants)
+		}
+		if _, reason := r.Admit("s", false, 0); reason != outcome.ReasonTargetDraining {
+			t.Errorf("%s: admitted, %q", name, reason)
+		}
+		later := time.Now().Add(time.Hour).UnixMilli()
+		r.Heartbeat(holding.Report{ID: "i-1", Address: "x", Service: "s", Slots: 6, Sequence: 1, Born: later})
+		if _, reason := r.Admit("s", false, 0); reason != outcome.ReasonNone {
+			t.Errorf("%s: the next life is refused, %q", name, reason)
+		}
+	}
+}
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -130,6 +130,8 @@
 	peers   map[string]*peer
 	tables  map[string]*table
 	life    *life
+	// departed are targets whose leaving was acknowledged without a life of theirs, by id.
+	departed map[string]departure
 	// former are earlier lives of targets beside this node whose grants may not have lapsed.
 	former []*life
 	// planSince is when a need to plan was first seen, by service.
@@ -165,6 +167,7 @@
 		lease:     holding.Lease{Length: cfg.Timing.Lease, Promise: cfg.Timing.Promise, Limit: cfg.Timing.ExtendLimit},
 		ballot:    holding.NewBallot(cfg.Timing.Promise, cfg.Clock()),
 		agreed:    make(map[string]objects.Version),
+		departed:  make(map[string]departure),
 		peers:     make(map[string]*peer),
 		tables:    make(map[string]*table),
 		planSince: make(map[string]time.Duration),
