--- a/node/sidecar/config.go
+++ b/node/sidecar/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/routing"
 	"github.com/auburnrelay/auburnrelay/objects"
@@ -44,6 +45,7 @@
 }
 
 func (c *configWatcher) apply(o objects.Object) {
+	began := time.Now()
 	config, err := platform.DecodeConfig(o.Value)
 	if err != nil {
 		c.log.Error("malformed configuration ignored", "store_version", int64(o.Version), "cause", err.Error())
@@ -56,5 +58,6 @@
 	}
 	c.inForce.Store(config)
 	c.log.Info("configuration in force", "config", config.Version, "store_version", int64(o.Version),
-		"routes", len(config.Routes), "services", len(config.Services))
+		"routes", len(config.Routes), "services", len(config.Services), "bytes", len(o.Value),
+		"decode_ms", time.Since(began).Milliseconds())
 }
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -155,6 +155,7 @@
 	d.contacts = newContacts(s.Listen.Peers)
 	raw := objectstore.New(s.Store.URL, objectstore.Options{
 		PollWait: pollWait, SeparateKinds: []string{"nodes", "tables"}, Encoding: s.Store.Encoding,
+		Log: log.With("part", "store"),
 	})
 	d.peerPool = h1.NewPool(h1.Options{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, UnackedTimeout: unackedTimeout, MaxConns: maxPeerConns})
 	d.store = storelink.New(raw, d.peerPool, d.relayNodes, log.With("part", "store"))
