--- a/standin/sidecar/sidecar_test.go
+++ b/standin/sidecar/sidecar_test.go
@@ -91,7 +91,12 @@
 // replaces it.
 func (s *deployment) configure(version int) {
 	s.t.Helper()
-	object := objectstore.Object{Meta: objectstore.Meta{Name: "main"}, Spec: json.RawMessage(fmt.Sprintf(configText, version))}
+	s.putConfig(version, fmt.Sprintf(configText, version))
+}
+
+func (s *deployment) putConfig(version int, config string) {
+	s.t.Helper()
+	object := objectstore.Object{Meta: objectstore.Meta{Name: "main"}, Spec: json.RawMessage(config)}
 	text, err := json.Marshal(object)
 	if err != nil {
 		s.t.Fatal(err)
@@ -126,7 +131,7 @@
 	return addresses
 }
 
-func (s *deployment) addNode(name, service string) *node {
+func (s *deployment) addNode(name, service string) {
 	s.t.Helper()
 	addresses := freeAddresses(s.t, 5)
 	text := fmt.Sprintf(settingsText, name, service, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], s.storeURL)
@@ -148,7 +153,6 @@
 	}
 	n.target.start()
 	s.nodes = append(s.nodes, n)
-	return n
 }
 
 // send sends one request to a node and returns the response's status and body. A failed request
