Bound the receipt of a response by its progress, not by the deadline of the call

Cause: limits on whole calls. A poll that was receiving the configuration was cancelled as soon as another call of the node took more than 0.35 s, or at its own limit, and began again from the first byte, which loaded the link further.

--- a/node/peercall/peercall.go
+++ b/node/peercall/peercall.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/objects/transfer"
 )
 
 // maxMessageBytes bounds a message in bytes. The largest messages are pages of store objects, whose
@@ -23,7 +24,8 @@
 // also marked h1.ErrNotSent.
 var ErrNoAnswer = errors.New("no valid response from the peer node")
 
-// Do sends the message to the path at the node's address and decodes the response into answer.
+// Do sends the message to the path at the node's address and decodes the response into answer. The
+// deadline of ctx bounds only the wait for the response (see package transfer).
 // Every error of the call is marked ErrNoAnswer and, if the call was not sent, h1.ErrNotSent as well;
 // an error in encoding the message is marked h1.ErrNotSent only.
 func Do(ctx context.Context, pool *h1.Pool, address, path string, message, answer any) error {
@@ -36,12 +38,14 @@
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(bytes.NewReader(payload)),
 		ContentLength: int64(len(payload)),
 	}
-	response, err := pool.Do(ctx, h1.Call{Address: address, Request: request})
+	call := transfer.NewCall(ctx)
+	defer call.Close()
+	response, err := pool.Do(call, h1.Call{Address: address, Request: request})
 	if err != nil {
 		return errors.Mark(err, ErrNoAnswer)
 	}
 	defer response.Body.Close()
-	payload, err = io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	payload, err = call.ReadAll(response.Body, maxMessageBytes)
 	if err == nil {
 		err = json.Unmarshal(payload, answer)
 	}
--- a/node/storelink/storelink.go
+++ b/node/storelink/storelink.go
@@ -19,10 +19,11 @@
 
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/transfer"
 )
 
 const (
-	// directTimeout bounds a direct call other than a poll. The store answers in 4 ms, or in 240 ms
+	// directTimeout bounds the wait for the response to a direct call other than a poll. The store answers in 4 ms, or in 240 ms
 	// when it is slow; a higher limit would leave the call too little time to go through another
 	// node.
 	directTimeout = 350 * time.Millisecond
@@ -157,19 +158,21 @@
 
 // callDirect makes a direct call and records whether the store answered.
 func (s *Store) callDirect(ctx context.Context, op operation, storeLost <-chan struct{}, do func(context.Context) error) error {
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(context.Canceled)
 	if op == opPoll {
 		go func() {
 			select {
 			case <-storeLost:
-				cancel()
+				// A response that is being received shows that the store answers.
+				cancel(transfer.ErrWaitEnded)
 			case <-callCtx.Done():
 			}
 		}()
 	} else {
-		callCtx, cancel = context.WithTimeout(ctx, directTimeout)
-		defer cancel()
+		var stop context.CancelFunc
+		callCtx, stop = context.WithTimeout(callCtx, directTimeout)
+		defer stop()
 	}
 	err := do(callCtx)
 	// A call that was cancelled says nothing about the store, and a failed poll says only that its
