node/feed: pass changes of the store on within a region

Cause: every node read every change from the store itself. One configuration of 1,440 more routes, 194 KB, crossed the link between the regions once for each of the 32 nodes beyond it, and again for the next version, beside all requests. The same holds for each write of a table.

Fix: the nodes of a region form a tree by their names (core/fanout). Its first node reads the store and the others follow it; a node never follows one whose name sorts after its own, so there are no circles. Values are compressed. Every answer says how long ago the state was confirmed to be current, which happens every 0.4 s. A follower leaves a source whose state is not confirmed for about a second and, for lack of another one, reads the store itself; it waits longer while the source is receiving a response. Configuration and tables use it. The client's watch is no longer used by the sidecar, whose config polls held for 3 s; polls now end their wait before the deadline of their context.

--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -261,6 +261,21 @@
 	return addresses
 }
 
+// RegionPeers returns the address of each live node in this node's region, by name, except of those that
+// are stopping. This node is included once its entry is written.
+func (o *Ownership) RegionPeers() map[string]string {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	addresses := make(map[string]string)
+	for name, p := range o.peers {
+		if p.entry.Region == o.cfg.Self.Region && !p.entry.Stopping && p.isLive(o.entriesKnownAt(now)) {
+			addresses[name] = p.entry.Address
+		}
+	}
+	return addresses
+}
+
 // NewView returns a view of shared services with the given targets, by service. It is meant for
 // tests of other packages.
 func NewView(targets map[string][]Destination) *View {
--- a/node/sidecar/config.go
+++ b/node/sidecar/config.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/node/feed"
 	"github.com/auburnrelay/auburnrelay/objects"
-	"github.com/auburnrelay/auburnrelay/objects/client"
 	"github.com/auburnrelay/auburnrelay/platform"
 	"github.com/auburnrelay/auburnrelay/platform/objectstore"
 )
@@ -16,13 +16,13 @@
 // configWatcher watches the operator's configuration in the store. It ignores versions that are not
 // newer than the one in force.
 type configWatcher struct {
-	store   *client.Client
+	feed    *feed.Feed
 	log     *slog.Logger
 	inForce atomic.Pointer[routing.Config]
 }
 
-func newConfigWatcher(store *client.Client, log *slog.Logger) *configWatcher {
-	return &configWatcher{store: store, log: log}
+func newConfigWatcher(f *feed.Feed, log *slog.Logger) *configWatcher {
+	return &configWatcher{feed: f, log: log}
 }
 
 // current returns the configuration in force, or nil before one is known.
@@ -35,7 +35,7 @@
 
 // run watches the configuration until the context ends.
 func (c *configWatcher) run(ctx context.Context) error {
-	return c.store.Watch(ctx, objectstore.ConfigKind+"/", func(b objects.Batch) {
+	return c.feed.Watch(ctx, objectstore.ConfigKind+"/", func(b objects.Batch) {
 		for _, e := range b.Events {
 			if e.Object.Key == platform.ConfigKey && !e.Deleted {
 				c.apply(e.Object)
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -19,6 +20,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/node/bootclock"
+	"github.com/auburnrelay/auburnrelay/node/feed"
 	"github.com/auburnrelay/auburnrelay/node/guard"
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/hop"
@@ -28,6 +30,7 @@
 	"github.com/auburnrelay/auburnrelay/node/storelink"
 	"github.com/auburnrelay/auburnrelay/node/telemetry"
 	"github.com/auburnrelay/auburnrelay/node/voting"
+	"github.com/auburnrelay/auburnrelay/objects"
 	"github.com/auburnrelay/auburnrelay/objects/client"
 	"github.com/auburnrelay/auburnrelay/platform"
 	"github.com/auburnrelay/auburnrelay/platform/objectstore"
@@ -110,15 +113,16 @@
 )
 
 // ownershipStore is the store for package ownership: calls without retries, because the ownership
-// protocol itself decides what a failed call means, and a watch that resumes after failures. The
-// client is embedded one level deeper than the store, so that only its Watch is promoted.
+// protocol itself decides what a failed call means, and the watch of the feed.
 type ownershipStore struct {
 	*storelink.Store
-	*watchClient
+	feed *feed.Feed
 }
 
-// watchClient contributes Watch to ownershipStore.
-type watchClient struct{ *client.Client }
+// Watch delivers the objects below prefix and their changes until the context ends.
+func (s ownershipStore) Watch(ctx context.Context, prefix string, deliver func(objects.Batch)) error {
+	return s.feed.Watch(ctx, prefix, deliver)
+}
 
 // Daemon is a node with its components.
 type Daemon struct {
@@ -130,6 +134,7 @@
 	ownership     *ownership.Ownership
 	guard         *guard.Guard
 	store         *storelink.Store
+	feed          *feed.Feed
 	peerPool      *h1.Pool
 	pools         []*h1.Pool
 	servers       servers
@@ -163,7 +168,11 @@
 		CallsPerSecond: storeCallsPerSecond, Burst: storeCallBurst, AttemptTimeout: time.Second, PollTimeout: pollWait + pollMargin,
 		MaxBackoff: maxWatchBackoff, Registerer: d.registry,
 	})
-	d.config = newConfigWatcher(watching, log.With("part", "config"))
+	d.feed = feed.New(feed.Config{
+		Self: s.Node.Name, Prefixes: []string{objectstore.ConfigKind + "/", ownership.TablesPrefix}, Store: watching, Pool: d.peerPool,
+		Members: func() map[string]string { return d.ownership.RegionPeers() }, Clock: bootclock.Now, Log: log.With("part", "feed"),
+	})
+	d.config = newConfigWatcher(d.feed, log.With("part", "config"))
 	d.ownership = ownership.New(ownership.Config{
 		Self: ownership.Entry{
 			Name: s.Node.Name, Incarnation: ulid.Make().String(), Address: s.Listen.Peers,
@@ -175,7 +184,7 @@
 		Voters:        voting.NewClient(d.peerPool),
 		ResponseLimit: platform.ResponseLimit(s.Store.Encoding),
 		Log:           log.With("part", "ownership"),
-	}, ownershipStore{d.store, &watchClient{watching}})
+	}, ownershipStore{d.store, d.feed})
 	return d, d.provision()
 }
 
@@ -232,6 +241,19 @@
 		}
 		return 0
 	})
+	telemetry.Gauge(d.registry, "feed_age_seconds", "Time since configuration and tables were last confirmed to be current.", func() float64 {
+		age, known := d.feed.Age()
+		if !known {
+			return math.Inf(1)
+		}
+		return age.Seconds()
+	})
+	telemetry.Gauge(d.registry, "feed_reads_store", "Whether the node reads configuration and tables from the store (1) or from another node (0).", func() float64 {
+		if d.feed.ReadsStore() {
+			return 1
+		}
+		return 0
+	})
 	telemetry.Gauge(d.registry, "lease_left_seconds", "Time until the node's lease ends.", func() float64 {
 		return d.ownership.LeaseLeft().Seconds()
 	})
@@ -240,7 +262,8 @@
 	})
 }
 
-// peerHandler serves other nodes: requests for the local target, calls of the store, and votes.
+// peerHandler serves other nodes: requests for the local target, calls of the store, changes of the
+// store, and votes.
 func (d *Daemon) peerHandler(requests *hop.Server) http.Handler {
 	votes := voting.Handler(d.settings.Node.Name, d.ownership.Vote)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -250,6 +273,8 @@
 			requests.ServeHTTP(w, r)
 		case r.URL.Path == storelink.Path:
 			d.store.ServeHTTP(w, r)
+		case r.URL.Path == feed.Path:
+			d.feed.ServeHTTP(w, r)
 		case r.URL.Path == voting.Path:
 			votes.ServeHTTP(w, r)
 		default:
@@ -276,6 +301,7 @@
 	var group run.Group
 	d.servers.addTo(&group)
 	group.Add(func() error { return d.ownership.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return d.feed.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return d.config.run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return d.handleSignals(ctx) }, func(error) { cancel() })
 	d.log.Info("node started", "service", d.settings.Node.Service, "callers", d.settings.Listen.Callers, "peers", d.settings.Listen.Peers)
--- a/objects/transfer/transfer.go
+++ b/objects/transfer/transfer.go
@@ -29,6 +29,14 @@
 	ErrTooSlow = errors.New("response took too long")
 )
 
+// observerKey is the key of the function that WithObserver adds to a context.
+type observerKey struct{}
+
+// WithObserver returns a context whose calls run observe when their response begins to arrive.
+func WithObserver(ctx context.Context, observe func()) context.Context {
+	return context.WithValue(ctx, observerKey{}, observe)
+}
+
 // Call is the context of one call whose response may outlast the deadline. It is used by one goroutine.
 type Call struct {
 	context.Context
@@ -63,6 +71,9 @@
 // the body makes no progress for StallTimeout or takes too long in total; it returns what was read.
 func (c *Call) ReadAll(body io.Reader, limit int64) ([]byte, error) {
 	c.receiving.Store(true)
+	if observe, ok := c.Value(observerKey{}).(func()); ok {
+		observe()
+	}
 	stalled := time.AfterFunc(StallTimeout, func() { c.cancel(ErrStalled) })
 	defer stalled.Stop()
 	tooSlow := time.AfterFunc(maxDuration, func() { c.cancel(ErrTooSlow) })
