node/h1, node/guard: bound what a target may send without end

What callers would see: a target that sends bytes without end in the head of an answer filled the memory of its node (500 MB of heap in 0.8 s, on VMs of 184 MB) until the deadline, and the node was killed with every request in flight. A refusal whose body did not end was held until the deadline, though it was known from its head that the request had not run.

Cause: http.ReadResponse bounds neither the lines nor the number of the header fields, interim answers were read without a limit, and the body of a refusal was read before the refusal was passed on.

Fix: a head may take 64 KiB together with the interim answers before it; the body of a refusal is drained in the background for at most 0.1 s and 16 KiB; idle connections that receive bytes, have expired or were closed by their server are closed within a second, rather than at their next use.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -30,6 +31,9 @@
 	// minRemaining is the shortest remaining time with which a request is sent. With less, the target
 	// cannot answer in time.
 	minRemaining = 10 * time.Millisecond
+	// drainTimeout and maxDrainedBytes bound the reading of a refusal's body, which is a short text.
+	drainTimeout    = 100 * time.Millisecond
+	maxDrainedBytes = 16 << 10
 	// maxQueueShare is the share of a request's latency objective that it may spend queued.
 	maxQueueShare = 0.6
 	// queueCapacityPerSlot is the queue capacity per slot.
@@ -165,6 +169,11 @@
 		return result
 	}
 	result := g.classifyAnswer(ctx, r, response)
+	if result.Outcome == outcome.NotRun {
+		// The reason is known from the head.
+		go drain(response.Body, cancel)
+		cancel = func() {}
+	}
 	if r.Keyed && result.Reason == outcome.ReasonFence {
 		g.gate.ReportKeyNotHeld(local.ID, local.Born, r.Key)
 	}
@@ -196,11 +205,20 @@
 	return result
 }
 
-// classifyAnswer classifies an answer and reads the first part of its body.
+// drain reads the rest of a refusal, so that its connection can be reused, and closes the connection if
+// that takes too long.
+func drain(body io.ReadCloser, cancel context.CancelFunc) {
+	defer cancel()
+	timer := time.AfterFunc(drainTimeout, cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDrainedBytes))
+	_ = body.Close()
+}
+
+// classifyAnswer classifies an answer and, unless it is a refusal, reads the first part of its body.
 func (g *Guard) classifyAnswer(ctx context.Context, r *relay.Request, response *http.Response) relay.Result {
 	meta := g.codec.DecodeAnswer(response.StatusCode, response.Header)
 	if meta.NotRun {
-		_, _ = relay.ReadAnswer(response)
 		reason := outcome.ReasonTargetShed
 		if meta.Misdirected {
 			reason = outcome.ReasonFence
--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -25,6 +25,11 @@
 const (
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of an answer together with the interim answers before it. Heads
+	// of proper answers take a few hundred bytes.
+	maxHeadBytes = 64 << 10
+	// sweepInterval is the interval at which unusable idle connections are closed.
+	sweepInterval = time.Second
 	// maxDroppedAnswers is the number of answers to other requests that are dropped before the
 	// connection is closed.
 	maxDroppedAnswers = 2
@@ -40,6 +45,8 @@
 	// ErrBusy reports that MaxConns connections to the address are open and none is idle; it is
 	// combined with ErrNotSent.
 	ErrBusy = errors.New("all connections to the address are in use")
+	// ErrHeadTooLarge reports an answer whose head exceeds maxHeadBytes.
+	ErrHeadTooLarge = errors.New("head of the answer is too large")
 	// ErrMismatchedAnswer reports a connection that returned answers to other requests.
 	ErrMismatchedAnswer = errors.New("connection returned answers to other requests")
 )
@@ -66,6 +73,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]*hostConns
+	// sweepPlanned is set while a call of sweep is scheduled.
+	sweepPlanned bool
 }
 
 type hostConns struct {
@@ -75,9 +84,11 @@
 
 type conn struct {
 	net.Conn
-	pool      *Pool
-	address   string
+	pool    *Pool
+	address string
+	// reader buffers what is read through limit.
 	reader    *bufio.Reader
+	limit     *headLimit
 	expires   time.Time
 	closeOnce sync.Once
 }
@@ -131,6 +142,7 @@
 
 // readAnswer reads answers until one belongs to the call.
 func (c *conn) readAnswer(call Call) (*http.Response, error) {
+	c.limit.begin()
 	for dropped := 0; ; {
 		response, err := http.ReadResponse(c.reader, call.Request)
 		if err != nil {
@@ -139,6 +151,7 @@
 		if response.StatusCode/100 == 1 {
 			continue
 		}
+		c.limit.end()
 		if call.Match == nil || call.Match(response) {
 			return response, nil
 		}
@@ -147,6 +160,7 @@
 		if err != nil || n == maxDroppedBytes || response.Close || dropped > maxDroppedAnswers {
 			return nil, errors.Wrapf(ErrMismatchedAnswer, "dropped %d answers", dropped)
 		}
+		c.limit.begin()
 	}
 }
 
@@ -206,11 +220,12 @@
 	defer p.mu.Unlock()
 	h := p.hosts[c.address]
 	h.idle = append(h.idle, c)
+	p.planSweep()
 }
 
 func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
 	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
-		if time.Now().Before(c.expires) && c.isIdleOpen() {
+		if c.isUsable() {
 			return c, nil
 		}
 		c.closeConn()
@@ -270,7 +285,8 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial()
 	}
-	return &conn{Conn: connection, pool: p, address: address, reader: bufio.NewReaderSize(connection, readBufferBytes)}, nil
+	limit := &headLimit{reader: connection}
+	return &conn{Conn: connection, pool: p, address: address, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
 }
 
 func (p *Pool) setUserTimeout(_, _ string, c syscall.RawConn) error {
@@ -283,6 +299,43 @@
 	return err
 }
 
+// planSweep schedules a sweep unless one is scheduled. The caller holds the lock.
+func (p *Pool) planSweep() {
+	if !p.sweepPlanned {
+		p.sweepPlanned = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
+// sweep closes the idle connections that cannot be used again, so that none of them holds bytes that
+// nobody reads. It repeats while idle connections are left.
+func (p *Pool) sweep() {
+	var unusable []*conn
+	p.mu.Lock()
+	p.sweepPlanned = false
+	for _, h := range p.hosts {
+		usable := h.idle[:0]
+		for _, c := range h.idle {
+			if c.isUsable() {
+				usable = append(usable, c)
+			} else {
+				unusable = append(unusable, c)
+			}
+		}
+		h.idle = usable
+		if len(usable) > 0 {
+			p.planSweep()
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range unusable {
+		c.closeConn()
+	}
+}
+
+// isUsable reports whether an idle connection can be used for another request.
+func (c *conn) isUsable() bool { return time.Now().Before(c.expires) && c.isIdleOpen() }
+
 // closeIdle closes the idle connections to the address.
 func (p *Pool) closeIdle(address string) {
 	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
