standin/sidecar: a crashed test target applies no heartbeat answer after its end

TestCrashedTarget failed once in 32 runs: a heartbeat that was answered while stop ran recorded the crashed target as a holder again, and the next holder counted as a second one. stop now waits until the process applies no answer any more.

--- a/standin/sidecar/target_test.go
+++ b/standin/sidecar/target_test.go
@@ -44,6 +44,8 @@
 	listener net.Listener
 	server   *http.Server
 	cancel   context.CancelFunc
+	// heartbeatsEnded is closed once the process sends no heartbeat and applies no answer any more.
+	heartbeatsEnded chan struct{}
 
 	mu       sync.Mutex
 	seq      int64
@@ -101,14 +103,20 @@
 	go func() { _ = x.server.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	x.cancel = cancel
+	ended := make(chan struct{})
+	x.heartbeatsEnded = ended
 	x.t.Cleanup(x.stop)
-	go x.heartbeatLoop(ctx)
+	go func() {
+		defer close(ended)
+		x.heartbeatLoop(ctx)
+	}()
 }
 
 // stop ends the target abruptly, as a crash would, and removes it from the recorded holders.
 func (x *target) stop() {
 	x.cancel()
 	_ = x.server.Close()
+	<-x.heartbeatsEnded
 	x.recorder.mu.Lock()
 	defer x.recorder.mu.Unlock()
 	for from, h := range x.recorder.holders {
