node/sidecar: state the wait of the feed's polls in one place

The wait was derived from the deadline of the call, 0.7 s before it, which a reader of node/feed could not see. The store's client has it as an option; its value stays 0.4 s.

--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -29,9 +29,8 @@
 )
 
 const (
-	// storeTimeout bounds one read of the store. The store's client ends the wait of a poll 0.7 s
-	// before the deadline, so the state is confirmed every 0.4 s.
-	storeTimeout = 1100 * time.Millisecond
+	// readTimeout bounds one read of the store until its response begins.
+	readTimeout = 1100 * time.Millisecond
 	// firstRetryPause and maxRetryPause bound the pause after a failed read of the store. The first is
 	// short, since the store may drop polls while it answers other calls.
 	firstRetryPause = 40 * time.Millisecond
@@ -225,7 +224,7 @@
 
 // read reads the state or the changes after it once.
 func (f *Feed) read(ctx context.Context, prefix string) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	ctx, received := f.observeReceipt(ctx)
 	defer received()
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -75,15 +75,15 @@
 	// allow for requests that are already in transit.
 	drainMargin = 400 * time.Millisecond
 
-	// pollWait is how long the store may hold a poll. A connection that is broken without a reset
-	// is detected after it.
-	pollWait = 3 * time.Second
+	// pollWait is how long the store may hold a poll. Each answer confirms the state of the feed, which
+	// other nodes leave after about a second without a confirmation.
+	pollWait = 400 * time.Millisecond
 	// pollMargin is the time allowed for the answer after pollWait.
-	pollMargin = time.Second
-	// maxWatchBackoff is the maximum backoff of a failing watch. It is short enough that a new
-	// configuration is in force within the required time after an outage.
-	maxWatchBackoff = 400 * time.Millisecond
-	// storeCallsPerSecond and storeCallBurst limit the watches' calls per second and their burst.
+	pollMargin = 700 * time.Millisecond
+	// maxReadBackoff is the maximum backoff of failing reads of the feed. It is short enough that a
+	// new configuration is in force within the required time after an outage.
+	maxReadBackoff = 400 * time.Millisecond
+	// storeCallsPerSecond and storeCallBurst limit the feed's calls per second and their burst.
 	storeCallsPerSecond = 10
 	storeCallBurst      = 20
 
@@ -164,12 +164,12 @@
 	})
 	d.peerPool = h1.NewPool(h1.Options{DialTimeout: dialTimeout, IdleTimeout: peerIdleTimeout, UnackedTimeout: unackedTimeout, MaxConns: maxPeerConns})
 	d.store = storelink.New(raw, d.peerPool, d.relayNodes, log.With("part", "store"))
-	watching := client.New(d.store, client.Options{
+	feedStore := client.New(d.store, client.Options{
 		CallsPerSecond: storeCallsPerSecond, Burst: storeCallBurst, AttemptTimeout: time.Second, PollTimeout: pollWait + pollMargin,
-		MaxBackoff: maxWatchBackoff, Registerer: d.registry,
+		MaxBackoff: maxReadBackoff, Registerer: d.registry,
 	})
 	d.feed = feed.New(feed.Config{
-		Self: s.Node.Name, Prefixes: []string{objectstore.ConfigKind + "/", ownership.TablesPrefix}, Store: watching, Pool: d.peerPool,
+		Self: s.Node.Name, Prefixes: []string{objectstore.ConfigKind + "/", ownership.TablesPrefix}, Store: feedStore, Pool: d.peerPool,
 		Members: func() map[string]string { return d.ownership.RegionPeers() }, Clock: bootclock.Now, Log: log.With("part", "feed"),
 	})
 	d.config = newConfigWatcher(d.feed, log.With("part", "config"))
--- a/node/storelink/protocol.go
+++ b/node/storelink/protocol.go
@@ -18,7 +18,7 @@
 const (
 	// forwardTimeout bounds a call through another node, not counting the wait of a poll.
 	forwardTimeout = 400 * time.Millisecond
-	// forwardedPollWait is how long a poll through another node waits for changes. It bounds how long
+	// forwardedPollWait bounds the wait of a poll through another node. It also bounds how long
 	// the loss of that node goes unnoticed, which must be well below the time within which a
 	// configuration has to be in force.
 	forwardedPollWait = time.Second
--- a/objects/store.go
+++ b/objects/store.go
@@ -79,7 +79,6 @@
 	// ErrConflict or, if the response was lost, ErrUnknownOutcome.
 	Delete(ctx context.Context, key string, expected Version) error
 	// Poll waits for changes below prefix after the given version and returns them. It returns a
-	// batch without events if there are none within the store's wait time; an implementation may end
-	// the wait earlier, before the deadline of ctx.
+	// batch without events if there are none within the store's wait time.
 	Poll(ctx context.Context, prefix string, after Version) (Batch, error)
 }
