--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -12,44 +12,17 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-	"github.com/cockroachdb/errors"
-
-	"github.com/auburnrelay/auburnrelay/core/fanout"
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/objects"
-	"github.com/auburnrelay/auburnrelay/objects/transfer"
-)
-
-const (
-	// readTimeout bounds one read of the store until its response begins.
-	readTimeout = 1100 * time.Millisecond
-	// firstRetryPause and maxRetryPause bound the pause after a failed read of the store. The first is
-	// short, since the store may drop polls while it answers other calls.
-	firstRetryPause = 40 * time.Millisecond
-	maxRetryPause   = 400 * time.Millisecond
-	// avoidTime is how long a source that failed is not followed again.
-	avoidTime = 3 * time.Second
-	// placeInterval is the interval at which a node that reads the store looks for a source.
-	placeInterval = 200 * time.Millisecond
-	// receivePatience is added to a node's patience while its source receives a response: the node
-	// would have to receive the same.
-	receivePatience = time.Second
-	// memberWait is how long a starting node waits to learn of the other nodes before it reads the
-	// store itself.
-	memberWait = 300 * time.Millisecond
 )
 
-// errBehind reports a response of the store that is older than the known state.
-var errBehind = errors.New("response of the store is older than the known state")
-
 // Store is the part of the store that a feed reads.
 type Store interface {
 	List(ctx context.Context, prefix string) (objects.Listing, error)
@@ -147,6 +120,7 @@
 	return f.replicas[prefix].objectsAfter(after), f.changed
 }
 
+// objectsAfter is Feed.objectsAfter for one replica. The caller holds the lock.
 func (r *replica) objectsAfter(after objects.Version) []packedObject {
 	var found []packedObject
 	for _, o := range r.objects {
@@ -154,7 +128,7 @@
 			found = append(found, o)
 		}
 	}
-	slices.SortFunc(found, func(a, b packedObject) int { return int(a.Version - b.Version) })
+	slices.SortFunc(found, func(a, b packedObject) int { return cmp.Compare(a.Version, b.Version) })
 	return found
 }
 
@@ -199,87 +173,6 @@
 	f.changed = make(chan struct{})
 }
 
-// readLoop reads the objects below a prefix from the store while this node has no source.
-func (f *Feed) readLoop(ctx context.Context, prefix string) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = firstRetryPause, maxRetryPause
-	for ctx.Err() == nil {
-		f.mu.Lock()
-		reads, changed := f.readsStore, f.changed
-		f.mu.Unlock()
-		if !reads {
-			select {
-			case <-changed:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		if f.read(ctx, prefix) == nil {
-			pause.Reset()
-		} else {
-			sleep(ctx, pause.NextBackOff())
-		}
-	}
-}
-
-// read reads the state or the changes after it once.
-func (f *Feed) read(ctx context.Context, prefix string) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	ctx, received := f.observeReceipt(ctx)
-	defer received()
-	f.mu.Lock()
-	known, after := f.replicas[prefix].known, f.replicas[prefix].next
-	f.mu.Unlock()
-	var changed []objects.Object
-	var next objects.Version
-	if known {
-		batch, err := f.cfg.Store.Poll(ctx, prefix, after)
-		if err != nil {
-			return err
-		}
-		changed, next = presentObjects(batch), batch.Next
-	} else {
-		listing, err := f.cfg.Store.List(ctx, prefix)
-		if err != nil {
-			return err
-		}
-		changed, next = listing.Objects, listing.Version
-	}
-	if next < after {
-		return errors.Wrapf(errBehind, "version %d, known %d", next, after)
-	}
-	confirmedAt := f.cfg.Clock()
-	f.apply(prefix, update{objects: packNewer(changed, after), next: next, confirmedAt: confirmedAt})
-	return nil
-}
-
-// observeReceipt returns a context whose call counts as being received once its response begins to
-// arrive. The function that it returns must be called after the call.
-func (f *Feed) observeReceipt(ctx context.Context) (context.Context, func()) {
-	began := 0
-	add := func(n int) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.receiving += n
-	}
-	ctx = transfer.WithObserver(ctx, func() {
-		began++
-		add(1)
-	})
-	return ctx, func() { add(-began) }
-}
-
-func presentObjects(batch objects.Batch) []objects.Object {
-	var present []objects.Object
-	for _, e := range batch.Events {
-		if !e.Deleted {
-			present = append(present, e.Object)
-		}
-	}
-	return present
-}
-
 // Age returns how long ago the state was last confirmed to be current, and false before it is known.
 func (f *Feed) Age() (time.Duration, bool) {
 	f.mu.Lock()
@@ -305,57 +198,6 @@
 	return f.readsStore
 }
 
-// placeLoop finds the node's source again and again and follows it.
-func (f *Feed) placeLoop(ctx context.Context) {
-	f.awaitMembers(ctx)
-	for ctx.Err() == nil {
-		place, address := f.place()
-		if place.Source == "" {
-			sleep(ctx, placeInterval)
-			continue
-		}
-		f.follow(ctx, place, address)
-	}
-}
-
-func (f *Feed) awaitMembers(ctx context.Context) {
-	const interval = 20 * time.Millisecond
-	for waited := time.Duration(0); waited < memberWait && len(f.cfg.Members()) == 0; waited += interval {
-		sleep(ctx, interval)
-	}
-}
-
-// place returns the node's place and the address of its source, and records whether the node reads
-// the store.
-func (f *Feed) place() (fanout.Place, string) {
-	addresses := f.cfg.Members()
-	names := slices.Sorted(maps.Keys(addresses))
-	now := f.cfg.Clock()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	place := fanout.Find(names, f.cfg.Self, func(name string) bool { return now < f.avoided[name] })
-	if reads := place.Source == ""; reads != f.readsStore {
-		f.readsStore, f.sourceReceives = reads, false
-		f.wake()
-		f.cfg.Log.Info("source of store changes", "source", place.Source, "level", place.Level)
-	}
-	return place, addresses[place.Source]
-}
-
-// avoid makes the node follow another source for avoidTime.
-func (f *Feed) avoid(source, reason string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.cfg.Clock()
-	for name, until := range f.avoided {
-		if until <= now {
-			delete(f.avoided, name)
-		}
-	}
-	f.avoided[source], f.sourceReceives = now+avoidTime, false
-	f.cfg.Log.Info("source of store changes left", "source", source, "reason", reason)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/node/feed/protocol.go
+++ b/node/feed/protocol.go
@@ -21,6 +21,9 @@
 	// answerMargin is the time allowed for the answer after the hold. Nodes of a region are a few
 	// milliseconds apart, but a node may be busy.
 	answerMargin = 250 * time.Millisecond
+	// receivePatience is added to a node's patience while its source receives a response: the node
+	// would have to receive the same.
+	receivePatience = time.Second
 )
 
 // request asks for the objects after a version, by prefix.
--- /dev/null
+++ b/node/feed/reader.go
@@ -0,0 +1,122 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburnrelay/auburnrelay/objects"
+	"github.com/auburnrelay/auburnrelay/objects/transfer"
+)
+
+const (
+	// readTimeout bounds one read of the store until its response begins.
+	readTimeout = 1100 * time.Millisecond
+	// firstRetryPause and maxRetryPause bound the pause after a failed read of the store. The first is
+	// short, since the store may drop polls while it answers other calls.
+	firstRetryPause = 40 * time.Millisecond
+	maxRetryPause   = 400 * time.Millisecond
+)
+
+// errBehind reports a response of the store that is older than the known state.
+var errBehind = errors.New("response of the store is older than the known state")
+
+// readLoop reads the objects below a prefix from the store while this node has no source.
+func (f *Feed) readLoop(ctx context.Context, prefix string) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstRetryPause, maxRetryPause
+	failing := false
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		reads, changed := f.readsStore, f.changed
+		f.mu.Unlock()
+		if !reads {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		err := f.read(ctx, prefix)
+		f.logRead(prefix, &failing, err)
+		if err == nil {
+			pause.Reset()
+		} else {
+			sleep(ctx, pause.NextBackOff())
+		}
+	}
+}
+
+// logRead logs the first failure of the reads below a prefix and the first success after failures.
+func (f *Feed) logRead(prefix string, failing *bool, err error) {
+	if failed := err != nil; failed == *failing {
+		return
+	}
+	*failing = err != nil
+	if err != nil {
+		f.cfg.Log.Warn("store changes not read", "prefix", prefix, "cause", err.Error())
+		return
+	}
+	f.cfg.Log.Info("store changes read again", "prefix", prefix)
+}
+
+// read reads the state or the changes after it once.
+func (f *Feed) read(ctx context.Context, prefix string) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	ctx, received := f.observeReceipt(ctx)
+	defer received()
+	f.mu.Lock()
+	known, after := f.replicas[prefix].known, f.replicas[prefix].next
+	f.mu.Unlock()
+	var changed []objects.Object
+	var next objects.Version
+	if known {
+		batch, err := f.cfg.Store.Poll(ctx, prefix, after)
+		if err != nil {
+			return err
+		}
+		changed, next = presentObjects(batch), batch.Next
+	} else {
+		listing, err := f.cfg.Store.List(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		changed, next = listing.Objects, listing.Version
+	}
+	if next < after {
+		return errors.Wrapf(errBehind, "version %d, known %d", next, after)
+	}
+	confirmedAt := f.cfg.Clock()
+	f.apply(prefix, update{objects: packNewer(changed, after), next: next, confirmedAt: confirmedAt})
+	return nil
+}
+
+// observeReceipt returns a context whose call counts as being received once its response begins to
+// arrive. The function that it returns must be called after the call.
+func (f *Feed) observeReceipt(ctx context.Context) (context.Context, func()) {
+	began := 0
+	add := func(n int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.receiving += n
+	}
+	ctx = transfer.WithObserver(ctx, func() {
+		began++
+		add(1)
+	})
+	return ctx, func() { add(-began) }
+}
+
+// presentObjects returns the objects of a batch without the deleted ones.
+func presentObjects(batch objects.Batch) []objects.Object {
+	var present []objects.Object
+	for _, e := range batch.Events {
+		if !e.Deleted {
+			present = append(present, e.Object)
+		}
+	}
+	return present
+}
