node/owner: TestAnswersStayWithTheirRequests sends requests again that have not run

Listed as known red: on a busy machine fewer than 100 of 300 requests ended as unknown. By reason, 5 to 10 in each group of 50 were shed from the queue, so the 100 requests with a crossed or cut answer did not all reach the target; the deadline of 15 ms, suspected before, concerns another group.

A request that has not run may be sent again, and the test now does so for all groups but the one whose deadline passes. The bound on unknown outcomes is unchanged; exactly half of all requests must now be answered, where a third was enough.

--- a/node/owner/quarantine_test.go
+++ b/node/owner/quarantine_test.go
@@ -121,6 +121,12 @@
 			}
 			sink := &answerSink{}
 			result := s.owner.Serve(context.Background(), request, sink)
+			// A busy machine sheds requests. One that has not run may be sent again, unless its deadline
+			// has passed.
+			for end := time.Now().Add(10 * time.Second); result.Outcome == outcome.NotRun && n%6 != 1 && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+				result = s.owner.Serve(context.Background(), request, sink)
+			}
 			want := strings.Repeat(strconv.Itoa(n)+" ", bodyBytes)
 			if result.Outcome == outcome.Answered && sink.body.String() != want {
 				t.Errorf("request %d: got another answer, %d bytes", n, sink.body.Len())
@@ -131,7 +137,7 @@
 		})
 	}
 	wait.Wait()
-	if ends[outcome.Answered] < requests/3 || ends[outcome.Unknown] < requests/3 {
+	if ends[outcome.Answered] != requests/2 || ends[outcome.Unknown] < requests/3 {
 		t.Errorf("outcomes %v", ends)
 	}
 }
