--- a/node/storelink/storelink.go
+++ b/node/storelink/storelink.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// directTimeout bounds the wait for the response to a direct call other than a poll. The store answers in 4 ms, or in 240 ms
-	// when it is slow; a higher limit would leave the call too little time to go through another
-	// node.
+	// directTimeout bounds the wait for the response to a direct call other than a poll. The store
+	// answers in 4 ms, or in 240 ms when it is slow; a higher limit would leave the call too little time
+	// to go through another node.
 	directTimeout = 350 * time.Millisecond
 	// probeInterval is how long no direct call is made after the store failed to answer.
 	probeInterval = time.Second
--- a/objects/transfer/transfer.go
+++ b/objects/transfer/transfer.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// StallTimeout is how long a response may make no progress. A packet lost on a link between
-	// regions is retransmitted well within it.
+	// StallTimeout is how long a response may make no progress. It covers the retransmission of a packet
+	// that was lost on a link between regions.
 	StallTimeout = 600 * time.Millisecond
 	// maxDuration bounds the receipt of a response that makes progress.
 	maxDuration = 15 * time.Second
@@ -46,8 +46,8 @@
 }
 
 // NewCall returns a Call that ends with ctx until the response begins to arrive (see ReadAll). After
-// that, the deadline of ctx and a cancellation with ErrWaitEnded have no effect on it. Close must be
-// called.
+// that, the deadline of ctx and a cancellation with ErrWaitEnded have no effect on it, nor has what
+// happens to ctx after one of them. Close must be called.
 func NewCall(ctx context.Context) *Call {
 	c := &Call{}
 	c.Context, c.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
