node/ownership: the simulation answers one request for a vote at a time

The fault was the simulation's: a node asks its voters concurrently, and each answer advanced the simulated world.

--- a/node/ownership/simulation_test.go
+++ b/node/ownership/simulation_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,13 +21,15 @@
 // simService is the service whose keys the simulated nodes assign.
 const simService = "s"
 
-// simulation simulates several nodes with their targets and one store in a single goroutine. During a
+// simulation simulates several nodes with their targets and one store, one at a time. During a
 // call of one node to the store or to a voter, simulated time may pass in which the others run.
 type simulation struct {
 	t      *testing.T
 	seed   uint64
 	random *rand.Rand
 	now    time.Duration
+	// clock is now for the nodes' clocks: a node reads it also while its votes are being collected.
+	clock atomic.Int64
 	// depth is the number of calls in progress during which simulated time passes.
 	depth int
 	nodes []*simNode
@@ -49,6 +53,8 @@
 	hasReadEntries bool
 	inCall         bool
 	gone           bool
+	// asking is held while a request of this node for a vote is answered.
+	asking sync.Mutex
 	// storeCutUntil and peersCutUntil are the times until which the node cannot reach the store or
 	// other nodes, and frozenUntil the time until which it is paused.
 	storeCutUntil, peersCutUntil, frozenUntil time.Duration
@@ -89,7 +95,7 @@
 			RankDelay: 400 * time.Millisecond, InitialAssignDelay: second, SettleTime: 2 * second, HoldMax: 10 * second, TargetTimeout: 4 * second,
 			DrainGrace: 1600 * time.Millisecond, Promise: 3 * second, ExtendInterval: 500 * time.Millisecond, ExtendLimit: 15 * second, EntryExpiry: 16 * second,
 		},
-		Clock:         func() time.Duration { return time.Duration(n.clockRate * float64(n.sim.now)) },
+		Clock:         func() time.Duration { return time.Duration(n.clockRate * float64(n.sim.clock.Load())) },
 		IsKeyed:       func(string) bool { return true },
 		ResponseLimit: holding.ResponseLimit{Bytes: 1 << 20, GrantBytes: func(holding.Grant) int { return 1 }},
 		Monitor:       noMeasure{},
@@ -100,8 +106,11 @@
 	n.nextRenew, n.nextRead, n.nextReconcile, n.nextExtend = n.sim.now, n.sim.now, n.sim.now, n.sim.now
 }
 
-// Ask implements VoteClient.
+// Ask implements VoteClient. A node asks all its voters concurrently; the simulation answers one after
+// the other. Meanwhile other nodes may run and ask theirs, but not this one again.
 func (n *simNode) Ask(_ context.Context, voter, _ string, request VoteRequest) (bool, error) {
+	n.asking.Lock()
+	defer n.asking.Unlock()
 	sim := n.sim
 	sim.passTime()
 	for _, other := range sim.nodes {
@@ -135,6 +144,7 @@
 func (sim *simulation) run(until time.Duration) {
 	for sim.now < until {
 		sim.now += simStep
+		sim.clock.Store(int64(sim.now))
 		sim.applyDelayedWrites()
 		for _, n := range sim.nodes {
 			n.heartbeat()
