node/guard: log the limit that a target names and the requests sent to it

The header is decoded in platform/, core/ratelimit follows it for one process of the target, the guard logs each change and, once a second while there is a limit, the sends. The metric target_sends_total has the same split. Nothing acts on the limit yet.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -48,8 +48,26 @@
 	Target string
 	// RetryAfter is how long to wait before the next attempt; zero if not specified.
 	RetryAfter time.Duration
+	// RateLimit is the number of requests per second that the target takes from all nodes together,
+	// valid only if Limit is LimitNamed.
+	RateLimit float64
+	Limit     LimitField
+	// Leaving is set if the target says that it is about to end.
+	Leaving bool
 }
 
+// LimitField tells whether an answer names a limit.
+type LimitField uint8
+
+const (
+	// LimitAbsent means that the answer names no limit.
+	LimitAbsent LimitField = iota
+	// LimitNamed means that the answer names a limit.
+	LimitNamed
+	// LimitMalformed means that the answer has a limit that cannot be decoded.
+	LimitMalformed
+)
+
 // Codec decodes and encodes the headers of requests and answers.
 type Codec interface {
 	// DecodeRequest decodes the headers of a caller's request. It fails with ErrMalformed.
--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -17,6 +17,7 @@
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/ratelimit"
 	"github.com/auburnrelay/auburnrelay/core/slotqueue"
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
@@ -70,6 +71,10 @@
 	meter         holding.Meter
 	crashes       crashCounts
 	slots         int
+	limits        ratelimit.Tracker
+	// sends counts the requests that were sent to the target since sendsCountedFrom.
+	sends            sendCount
+	sendsCountedFrom time.Duration
 }
 
 // New returns a Guard for the gate's local target.
@@ -162,12 +167,17 @@
 		id := g.codec.DecodeAnswer(answer.StatusCode, answer.Header).ID
 		return id == "" || id == r.ID
 	}
+	g.countSend(local, r.Repeated)
+	sentAt := g.elapsed()
 	response, err := g.pool.Do(ctx, h1.Call{Address: local.Address, Request: outgoing, Match: matchesRequest})
 	if err != nil {
 		result := g.classifyError(ctx, local, err)
 		cancel()
 		return result
 	}
+	if meta := g.codec.DecodeAnswer(response.StatusCode, response.Header); meta.ID == r.ID {
+		g.observeLimit(local, sentAt, meta)
+	}
 	result := g.classifyAnswer(ctx, r, response)
 	if result.Outcome == outcome.NotRun {
 		// The reason is known from the head.
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -38,6 +38,7 @@
 	headerReached    = headerPrefix + "Reached"
 	headerRetryAfter = headerPrefix + "Retry-Us"
 	headerTarget     = headerPrefix + "Target"
+	headerRepeated   = headerPrefix + "Repeated"
 )
 
 // deadlineMargin is how long after the request's deadline the sender still waits for the response.
@@ -86,6 +87,9 @@
 	if r.Keyed {
 		h.Set(headerKeyed, "1")
 	}
+	if r.Repeated {
+		h.Set(headerRepeated, "1")
+	}
 	h.Set(headerWait, strconv.FormatInt(r.Remaining().Microseconds(), 10))
 	h.Set(headerObjective, strconv.FormatInt(r.Objective.Microseconds(), 10))
 }
@@ -211,6 +215,7 @@
 		Kind: routing.Kind(kind), Priority: priority,
 		Objective: time.Duration(objective) * time.Microsecond,
 		Deadline:  arrived.Add(time.Duration(remaining) * time.Microsecond),
+		Repeated:  h.Get(headerRepeated) != "",
 	}
 	stripHopHeaders(h)
 	request.Header = h
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -96,6 +96,7 @@
 		if result.Reached {
 			state.sends++
 			state.tried = append(state.tried, result.Target)
+			r.Repeated = true
 		}
 		if result.Outcome == outcome.Unknown && state.firstUnknown == nil {
 			state.firstUnknown = &result
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -52,6 +52,8 @@
 	TableVersion int64
 	// Deadline is set by the caller or by the route's timeout.
 	Deadline time.Time
+	// Repeated is set if the request may have reached a target before.
+	Repeated bool
 }
 
 // Remaining returns the time until the deadline.
--- a/node/telemetry/metrics.go
+++ b/node/telemetry/metrics.go
@@ -22,6 +22,7 @@
 	resends      *prometheus.CounterVec
 	slotWaits    *prometheus.HistogramVec
 	target       *prometheus.HistogramVec
+	targetSends  *prometheus.CounterVec
 	linesLeftOut prometheus.Counter
 }
 
@@ -44,11 +45,14 @@
 		target: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "target_seconds", Help: "Time of a request at the local target.", Buckets: buckets,
 		}, []string{"kind", "outcome"}),
+		targetSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "target_sends_total", Help: "Requests sent to the local target, for the first time or repeated.",
+		}, []string{"send"}),
 		linesLeftOut: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "log_lines_left_out_total", Help: "Lines on requests left out to bound the log.",
 		}),
 	}
-	r.MustRegister(m.requests, m.latency, m.resends, m.slotWaits, m.target, m.linesLeftOut)
+	r.MustRegister(m.requests, m.latency, m.resends, m.slotWaits, m.target, m.targetSends, m.linesLeftOut)
 	return m
 }
 
@@ -71,6 +75,16 @@
 	m.target.WithLabelValues(kind, o.String()).Observe(d.Seconds())
 }
 
+// SentToTarget counts a request that is sent to the local target. repeated is set if it may have
+// reached a target before.
+func (m *Metrics) SentToTarget(repeated bool) {
+	send := "first"
+	if repeated {
+		send = "repeated"
+	}
+	m.targetSends.WithLabelValues(send).Inc()
+}
+
 // Gauge registers a gauge whose value is computed by read at each collection.
 func Gauge(r prometheus.Registerer, name, help string, read func() float64) {
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
