--- a/standin/sidecar/sidecar_test.go
+++ b/standin/sidecar/sidecar_test.go
@@ -66,13 +66,36 @@
 }
 
 type node struct {
-	name    string
-	callers string
-	ready   string
-	daemon  *sidecar.Daemon
-	target  *target
-	kill    context.CancelFunc
-	done    chan error
+	name     string
+	settings *sidecar.Settings
+	callers  string
+	ready    string
+	daemon   *sidecar.Daemon
+	target   *target
+	kill     context.CancelFunc
+	done     chan error
+}
+
+// run starts the node's daemon.
+func (n *node) run(t *testing.T) {
+	t.Helper()
+	daemon, err := sidecar.New(n.settings, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	n.daemon, n.kill, n.done = daemon, cancel, done
+	go func() { done <- daemon.Run(ctx) }()
+	t.Cleanup(cancel)
+}
+
+// restart ends the node's daemon without a graceful stop and starts another one. The target keeps running.
+func (n *node) restart(t *testing.T) {
+	t.Helper()
+	n.kill()
+	<-n.done
+	n.run(t)
 }
 
 func newDeployment(t *testing.T, services ...string) *deployment {
@@ -139,14 +162,8 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	daemon, err := sidecar.New(settings, io.Discard)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{name: name, callers: addresses[0], ready: addresses[3], daemon: daemon, kill: cancel, done: make(chan error, 1)}
-	go func() { n.done <- daemon.Run(ctx) }()
-	s.t.Cleanup(cancel)
+	n := &node{name: name, settings: settings, callers: addresses[0], ready: addresses[3]}
+	n.run(s.t)
 	n.target = &target{
 		t: s.t, id: "i-" + name, service: service, keyed: service == "k", controlAddress: addresses[2], address: "127.0.0.1:0",
 		workTime: 5 * time.Millisecond, recorder: s.recorder,
--- a/standin/sidecar/target_test.go
+++ b/standin/sidecar/target_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -55,6 +56,37 @@
 	freed    [][3]any
 	seen     map[int]int64
 	acked    int
+	// limit is the value of the header Server-Limit in the target's answers; empty if it names none.
+	limit string
+	// leaving is set if the target says in its answers that it leaves.
+	leaving bool
+	// arrivals are the requests that the target has received.
+	arrivals []arrival
+}
+
+// arrival is a request as received by a target.
+type arrival struct {
+	at time.Time
+	id string
+}
+
+// setAnswers sets what the target's answers say about itself.
+func (x *target) setAnswers(limit string, leaving bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.limit, x.leaving = limit, leaving
+}
+
+// arrivalsSince returns the requests received since a time.
+func (x *target) arrivalsSince(from time.Time) []arrival {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i, a := range x.arrivals {
+		if !a.at.Before(from) {
+			return slices.Clone(x.arrivals[i:])
+		}
+	}
+	return nil
 }
 
 // heldRange is a granted key range: its last key and its fencing token. Its first key is the key of the map.
@@ -263,6 +295,15 @@
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Instance-Id", x.id)
+	x.mu.Lock()
+	x.arrivals = append(x.arrivals, arrival{time.Now(), id})
+	if x.limit != "" {
+		w.Header().Set("Server-Limit", x.limit)
+	}
+	if x.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	x.mu.Unlock()
 	if r.Header.Get("X-Target-Instance") != x.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
