node/guard: keep the limit that a target names

Callers of a target in need got slow answers: it was sent up to three times the requests a second that it takes. Nothing in a node read the limit; the queue of the guard bounded only the requests at a time. All requests to a target, first and repeated ones, keyed and shared, pass through the guard beside it, so the guard can keep the limit without agreement among nodes.

The queue (core/slotqueue) now also waits for the turn of a request by the limit (core/ratelimit, at most half a second's allowance saved up, none at first). The rate is known, so a request whose turn comes after its deadline is refused at once, with the time until the present backlog is served as Retry-After; a more urgent arrival takes the turn of a less urgent one, which is then refused at once too. A limit of 0 still lets one request pass in 4 s: only an answer shows that the limit has ended.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -58,6 +58,9 @@
 	ReasonTargetLost Reason = "target-lost"
 	// ReasonShed means that the queue was too long for the time left.
 	ReasonShed Reason = "shed"
+	// ReasonTargetLimit means that the target's limit on requests per second left no turn for the
+	// request in the time left.
+	ReasonTargetLimit Reason = "target-limit"
 	// ReasonKeyShare means that requests for one key would occupy too many slots.
 	ReasonKeyShare Reason = "key-share"
 	// ReasonDeadline means that the caller's deadline passed.
--- a/core/slotqueue/slotqueue_test.go
+++ b/core/slotqueue/slotqueue_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/ratelimit"
 )
 
 const ms = time.Millisecond
@@ -35,7 +37,7 @@
 	offer(0, 5, 2, 100*ms, Drop, 0)
 	offer(0, 6, 1, 100*ms, Wait, 4)
 	offer(0, 7, 1, 0, Drop, 0)
-	if at, ok := q.NextDeadline(); !ok || at != 100*ms {
+	if at, ok := q.NextDecision(0); !ok || at != 100*ms {
 		t.Errorf("next deadline %v, want 100ms", at)
 	}
 	q.Finish()
@@ -72,3 +74,44 @@
 		t.Errorf("started %v, want one item", got)
 	}
 }
+
+// TestLimit offers items at a limit of 10 a second: those whose turn comes after their deadline are
+// refused at once, and a more urgent item takes the turn of a less urgent one.
+func TestLimit(t *testing.T) {
+	q := New(8, 8)
+	q.SetLimit(0, ratelimit.Limit{PerSecond: 10, Valid: true})
+	for _, row := range []struct {
+		id       uint64
+		priority int
+		deadline time.Duration
+		want     Verdict
+	}{
+		{1, 2, 50 * ms, Start},
+		{2, 2, 90 * ms, Drop},
+		{3, 2, 150 * ms, Wait},
+		{4, 2, 190 * ms, Drop},
+		{5, 2, 250 * ms, Wait},
+		{6, 1, 150 * ms, Wait},
+	} {
+		if got, _, _ := q.Offer(0, Item{ID: row.id, Priority: row.priority, Deadline: row.deadline}); got != row.want {
+			t.Fatalf("item %d: verdict %d, want %d", row.id, got, row.want)
+		}
+	}
+	if got := q.Backlog(0); got != 400*ms {
+		t.Errorf("backlog %v, want 400ms", got)
+	}
+	// Item 3 would now start at 200 ms, after its deadline.
+	if got := q.Next(0); len(got) != 1 || got[0] != (Decision{3, Drop}) {
+		t.Fatalf("at 0: %v", got)
+	}
+	if at, ok := q.NextDecision(0); !ok || at != 100*ms {
+		t.Errorf("next decision at %v", at)
+	}
+	if got := q.Next(100 * ms); len(got) != 1 || got[0] != (Decision{6, Start}) {
+		t.Fatalf("at 100 ms: %v", got)
+	}
+	q.SetLimit(110*ms, ratelimit.Limit{})
+	if got := q.Next(110 * ms); len(got) != 1 || got[0] != (Decision{5, Start}) {
+		t.Fatalf("after the end of the limit: %v", got)
+	}
+}
--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -1,5 +1,6 @@
 // Package guard controls all access to the local target: it checks that the target may run a
-// request, queues the request for a slot, sends it and classifies the answer.
+// request, queues the request for a slot and for the target's limit, sends it and classifies the
+// answer. All requests to the target pass through its guard, so the guard's count is that of all nodes.
 //
 // Locks: Guard.mu is a leaf lock; no call to the target or the gate is made while it is held.
 package guard
@@ -97,10 +98,10 @@
 	}
 	g.recordArrival(r, local.Slots)
 	arrived := time.Now()
-	reason = g.awaitSlot(ctx, r, local.Slots)
+	end := g.awaitSlot(ctx, r, local)
 	g.metrics.SlotWait(r.Kind.String(), time.Since(arrived))
-	if reason != outcome.ReasonNone {
-		return relay.NotRun(reason)
+	if end.Reason != outcome.ReasonNone {
+		return relay.Result{End: end}
 	}
 	// The target or the ownership of the key may have changed while the request was queued.
 	local, reason = g.gate.Admit(r.Service, r.Keyed, r.Key)
--- a/node/guard/limit.go
+++ b/node/guard/limit.go
@@ -26,10 +26,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.limits.Observe(processOf(local), sentAt, now, statement, meta.RateLimit) {
-		g.logLimit(local)
+		g.applyLimit(local, now)
 	}
 }
 
+// applyLimit makes the queue keep the target's limit, and logs it; the caller holds the lock.
+func (g *Guard) applyLimit(local ownership.LocalTarget, now time.Duration) {
+	g.logLimit(local)
+	g.queue.SetLimit(now, g.limits.Limit(processOf(local)))
+	g.dispatch(now)
+}
+
 // logLimit logs the limit of the target; the caller holds the lock.
 func (g *Guard) logLimit(local ownership.LocalTarget) {
 	limit := g.limits.Limit(processOf(local))
--- a/node/guard/slot.go
+++ b/node/guard/slot.go
@@ -6,35 +6,48 @@
 
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/slotqueue"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
 )
 
 func (g *Guard) elapsed() time.Duration { return time.Since(g.queueEpoch) }
 
-// awaitSlot waits for a slot. It returns ReasonNone if the request got one, and otherwise the
-// reason why not.
-func (g *Guard) awaitSlot(ctx context.Context, r *relay.Request, slots int) outcome.Reason {
-	id, verdict, decided := g.enqueue(r, slots)
+// awaitSlot waits for a slot and for the target's limit. It returns ReasonNone if the request may be
+// sent, and otherwise the reason why not, with the time after which another attempt may succeed.
+func (g *Guard) awaitSlot(ctx context.Context, r *relay.Request, local ownership.LocalTarget) outcome.End {
+	id, verdict, decided := g.enqueue(r, local)
 	if verdict == slotqueue.Wait {
 		select {
 		case verdict = <-decided:
 		case <-ctx.Done():
 			g.withdraw(id, decided)
-			return outcome.ReasonCancelled
+			return outcome.End{Outcome: outcome.NotRun, Reason: outcome.ReasonCancelled}
 		}
 	}
 	if verdict == slotqueue.Drop {
-		return outcome.ReasonShed
+		return g.shed()
 	}
-	return outcome.ReasonNone
+	return outcome.End{}
 }
 
-func (g *Guard) enqueue(r *relay.Request, slots int) (uint64, slotqueue.Verdict, chan slotqueue.Verdict) {
+// shed returns the end of a request that the queue has dropped.
+func (g *Guard) shed() outcome.End {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	end := outcome.End{Outcome: outcome.NotRun, Reason: outcome.ReasonShed}
+	if g.queue.Limited() {
+		end.Reason, end.RetryAfter = outcome.ReasonTargetLimit, g.queue.Backlog(g.elapsed())
+	}
+	return end
+}
+
+func (g *Guard) enqueue(r *relay.Request, local ownership.LocalTarget) (uint64, slotqueue.Verdict, chan slotqueue.Verdict) {
 	now := g.elapsed()
 	maxWait := min(time.Duration(maxQueueShare*float64(r.Objective)), r.Remaining())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Resize(slots, slots*queueCapacityPerSlot)
+	g.queue.Resize(local.Slots, local.Slots*queueCapacityPerSlot)
+	g.queue.SetLimit(now, g.limits.Limit(processOf(local)))
 	g.lastID++
 	id := g.lastID
 	verdict, displaced, isDisplaced := g.queue.Offer(now, slotqueue.Item{ID: id, Priority: r.Priority, Deadline: now + maxWait})
@@ -46,7 +59,8 @@
 	}
 	decided := make(chan slotqueue.Verdict, 1)
 	g.queued[id] = decided
-	g.scheduleDispatch(now)
+	// The new request may have left less urgent ones without a turn before their deadlines.
+	g.dispatch(now)
 	return id, verdict, decided
 }
 
@@ -89,7 +103,7 @@
 }
 
 func (g *Guard) scheduleDispatch(now time.Duration) {
-	if at, waits := g.queue.NextDeadline(); waits {
+	if at, waits := g.queue.NextDecision(now); waits {
 		g.dispatchTimer.Reset(max(0, at-now))
 	}
 }
