node: a restarted node knows the limits of its target before the first answer

A node that is restarted beside a target with a limit sent as many requests as the target has slots until the first answer came: at a limit of 0.25 a second 18 requests in 4 s, allowed 6.5 (three restarts; the target answers after 600 ms). The limit was known to the lost process only, although every node that had passed on an answer of the target had seen it.

The guard's results now carry the limit to the node where the request began, which keeps it for that process of the target and sends it along with further requests. A guard uses it until the first answer of its target. So each request that is bound by the limit brings it along, also while the store is away.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -96,6 +96,14 @@
 	if reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
+	g.adoptState(local, r.Known)
+	result := g.serveAdmitted(ctx, r, local)
+	result.State = g.state(local)
+	return result
+}
+
+// serveAdmitted queues a request that the gate has admitted and runs it.
+func (g *Guard) serveAdmitted(ctx context.Context, r *relay.Request, local ownership.LocalTarget) relay.Result {
 	g.recordArrival(r, local.Slots)
 	arrived := time.Now()
 	end := g.awaitSlot(ctx, r, local)
@@ -104,7 +112,7 @@
 		return relay.Result{End: end}
 	}
 	// The target or the ownership of the key may have changed while the request was queued.
-	local, reason = g.gate.Admit(r.Service, r.Keyed, r.Key)
+	local, reason := g.gate.Admit(r.Service, r.Keyed, r.Key)
 	if reason != outcome.ReasonNone {
 		g.releaseSlot()
 		return relay.NotRun(reason)
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/ratelimit"
 	"github.com/auburnrelay/auburnrelay/core/routing"
 	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
@@ -39,6 +40,9 @@
 	headerRetryAfter = headerPrefix + "Retry-Us"
 	headerTarget     = headerPrefix + "Target"
 	headerRepeated   = headerPrefix + "Repeated"
+	// headerBorn and headerLimit hold the state of the target process that headerTarget names.
+	headerBorn  = headerPrefix + "Born"
+	headerLimit = headerPrefix + "Limit"
 )
 
 // deadlineMargin is how long after the request's deadline the sender still waits for the response.
@@ -87,6 +91,7 @@
 	if r.Keyed {
 		h.Set(headerKeyed, "1")
 	}
+	writeState(h, r.Known)
 	if r.Repeated {
 		h.Set(headerRepeated, "1")
 	}
@@ -94,6 +99,31 @@
 	h.Set(headerObjective, strconv.FormatInt(r.Objective.Microseconds(), 10))
 }
 
+// writeState writes the state of a target, if it is known.
+func writeState(h http.Header, s relay.TargetState) {
+	if s.Process.ID == "" {
+		return
+	}
+	h.Set(headerTarget, s.Process.ID)
+	h.Set(headerBorn, strconv.FormatInt(s.Process.Born, 10))
+	if s.Limit.Valid {
+		h.Set(headerLimit, strconv.FormatFloat(s.Limit.PerSecond, 'g', -1, 64))
+	}
+}
+
+// readState returns the state that writeState wrote; zero if there is none.
+func readState(h http.Header) relay.TargetState {
+	born, err := strconv.ParseInt(h.Get(headerBorn), 10, 64)
+	if err != nil || h.Get(headerTarget) == "" {
+		return relay.TargetState{}
+	}
+	s := relay.TargetState{Process: ratelimit.Process{ID: h.Get(headerTarget), Born: born}}
+	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil && limit >= 0 {
+		s.Limit = ratelimit.Limit{PerSecond: limit, Valid: true}
+	}
+	return s
+}
+
 func sendErrorResult(ctx context.Context, err error) relay.Result {
 	result := relay.Unknown(outcome.ReasonPeerLost)
 	switch {
@@ -115,12 +145,12 @@
 	if micros, err := strconv.ParseInt(h.Get(headerRetryAfter), 10, 64); err == nil {
 		end.RetryAfter = time.Duration(micros) * time.Microsecond
 	}
-	reached := h.Get(headerReached) != ""
+	reached, state := h.Get(headerReached) != "", readState(h)
 	stripHopHeaders(h)
 	if end.Outcome != outcome.Answered {
 		_, _ = relay.ReadAnswer(response)
 		_ = response.Body.Close()
-		return relay.Result{End: end, Reached: reached, Target: target}
+		return relay.Result{End: end, Reached: reached, Target: target, State: state}
 	}
 	answer, err := relay.ReadAnswer(response)
 	if err != nil {
@@ -128,10 +158,10 @@
 		if ctx.Err() != nil {
 			result.Reason = outcome.ReasonCancelled
 		}
-		result.Target, result.Detail = target, err.Error()
+		result.Target, result.Detail, result.State = target, err.Error(), state
 		return result
 	}
-	return relay.Result{End: end, Answer: answer, Reached: true, Target: target}
+	return relay.Result{End: end, Answer: answer, Reached: true, Target: target, State: state}
 }
 
 func stripHopHeaders(h http.Header) {
@@ -216,6 +246,7 @@
 		Objective: time.Duration(objective) * time.Microsecond,
 		Deadline:  arrived.Add(time.Duration(remaining) * time.Microsecond),
 		Repeated:  h.Get(headerRepeated) != "",
+		Known:     readState(h),
 	}
 	stripHopHeaders(h)
 	request.Header = h
@@ -226,6 +257,7 @@
 	h := w.Header()
 	h.Set(headerOutcome, result.Outcome.String())
 	h.Set(headerTarget, result.Target)
+	writeState(h, result.State)
 	if result.Outcome == outcome.Answered {
 		result.Answer.WriteResponse(w, method)
 		return
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -52,12 +52,13 @@
 	mu     sync.Mutex
 	budget *retry.Budget
 	picker *balance.Picker
+	states targetStates
 }
 
 // NewDispatcher returns a dispatcher with a full retry budget and no load measurements of targets.
 func NewDispatcher(deps Dependencies) *Dispatcher {
 	policy := balance.DefaultPolicy()
-	return &Dispatcher{deps: deps, start: time.Now(), budget: retry.New(deps.Retry), picker: balance.New(policy)}
+	return &Dispatcher{deps: deps, start: time.Now(), budget: retry.New(deps.Retry), picker: balance.New(policy), states: newTargetStates()}
 }
 
 // dispatchState is the retry state of one request.
@@ -248,6 +249,10 @@
 }
 
 func (s *dispatchState) send(ctx context.Context, d ownership.Destination) relay.Result {
+	now := time.Since(s.start)
+	s.mu.Lock()
+	s.request.Known = s.states.of(d)
+	s.mu.Unlock()
 	var result relay.Result
 	if d.Local {
 		result = s.deps.Local(ctx, s.request)
@@ -257,6 +262,9 @@
 	if result.Target == "" {
 		result.Target = d.Target
 	}
+	s.mu.Lock()
+	s.states.record(now, result.State)
+	s.mu.Unlock()
 	return result
 }
 
--- /dev/null
+++ b/node/ingress/targetstates.go
@@ -0,0 +1,64 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/ratelimit"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
+	"github.com/auburnrelay/auburnrelay/node/relay"
+)
+
+const (
+	// maxTargetStates is the number of states from which old ones are removed.
+	maxTargetStates = 1024
+	// targetStateExpiry is how long a state is kept without a result of the target. Processes that are
+	// not heard of for that long have ended.
+	targetStateExpiry = 10 * time.Minute
+)
+
+// targetStates holds what the processes of targets have said about themselves, as far as it differs
+// from the usual. The caller must serialize the calls.
+type targetStates struct {
+	byProcess map[ratelimit.Process]knownState
+}
+
+type knownState struct {
+	relay.TargetState
+	recordedAt time.Duration
+}
+
+func newTargetStates() targetStates {
+	return targetStates{byProcess: make(map[ratelimit.Process]knownState)}
+}
+
+func processOf(d ownership.Destination) ratelimit.Process {
+	return ratelimit.Process{ID: d.Target, Born: d.Born}
+}
+
+// of returns the state of the destination's target; zero if there is nothing unusual about it.
+func (t targetStates) of(d ownership.Destination) relay.TargetState {
+	return t.byProcess[processOf(d)].TargetState
+}
+
+// record keeps the state that came with a result.
+func (t targetStates) record(now time.Duration, s relay.TargetState) {
+	if s.Process.ID == "" {
+		return
+	}
+	if !s.Limit.Valid {
+		delete(t.byProcess, s.Process)
+		return
+	}
+	if _, known := t.byProcess[s.Process]; !known && len(t.byProcess) >= maxTargetStates {
+		t.removeOld(now)
+	}
+	t.byProcess[s.Process] = knownState{TargetState: s, recordedAt: now}
+}
+
+func (t targetStates) removeOld(now time.Duration) {
+	for process, s := range t.byProcess {
+		if now-s.recordedAt > targetStateExpiry {
+			delete(t.byProcess, process)
+		}
+	}
+}
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -15,8 +15,10 @@
 	Node    string
 	Address string
 	Region  string
-	// Target is the target's id, and Slots the number of requests that it processes at a time.
+	// Target is the target's id, Born the start time of its process in Unix milliseconds, and Slots the
+	// number of requests that it processes at a time.
 	Target string
+	Born   int64
 	Slots  int
 	// Local is set if the target is local to this node.
 	Local bool
@@ -114,7 +116,7 @@
 	t := p.entry.Target
 	return Destination{
 		Node: p.entry.Name, Address: p.entry.Address, Region: p.entry.Region,
-		Target: t.ID, Slots: t.Slots, Local: p.entry.Name == o.cfg.Self.Name,
+		Target: t.ID, Born: t.Born, Slots: t.Slots, Local: p.entry.Name == o.cfg.Self.Name,
 		Ready: !t.Draining && !p.entry.Stopping,
 	}
 }
@@ -126,7 +128,7 @@
 	}
 	return Destination{
 		Node: p.entry.Name, Address: p.entry.Address, Region: p.entry.Region,
-		Target: owner.Target, Local: owner.Node == o.cfg.Self.Name, Ready: true,
+		Target: owner.Target, Born: owner.Born, Local: owner.Node == o.cfg.Self.Name, Ready: true,
 	}, true
 }
 
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/ratelimit"
 	"github.com/auburnrelay/auburnrelay/core/routing"
 )
 
@@ -54,6 +55,8 @@
 	Deadline time.Time
 	// Repeated is set if the request may have reached a target before.
 	Repeated bool
+	// Known is what the sending node knows of the target from earlier results; zero if nothing.
+	Known TargetState
 }
 
 // Remaining returns the time until the deadline.
@@ -176,6 +179,15 @@
 	Target string
 	// Detail is the text of the error behind the reason, for the log.
 	Detail string
+	// State is what the target's guard knows of the target; zero if no guard was reached.
+	State TargetState
+}
+
+// TargetState is what a target's process has said about itself in its answers. Nodes pass it on with
+// requests and results, so that a guard that has just started knows it before the first answer.
+type TargetState struct {
+	Process ratelimit.Process
+	Limit   ratelimit.Limit
 }
 
 // NotRun returns the result of a request that certainly did not run.
