--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -33,6 +33,13 @@
 	CallerService string
 }
 
+// TargetProcess identifies one process of a target, which may start again under the same id.
+type TargetProcess struct {
+	ID string
+	// Born is the start time of the process in Unix milliseconds.
+	Born int64
+}
+
 // AnswerMeta is the metadata that a target returns with an answer.
 type AnswerMeta struct {
 	// ID is the id of the request that is answered.
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -3,14 +3,11 @@
 // Nothing here reads a clock or locks: times are passed in, and the caller must serialize the calls.
 package ratelimit
 
-import "time"
+import (
+	"time"
 
-// Process identifies one process of a target.
-type Process struct {
-	ID string
-	// Born is the start time of the process in Unix milliseconds.
-	Born int64
-}
+	"github.com/auburnrelay/auburnrelay/core/exchange"
+)
 
 // Statement is what an answer of a target says about its limit.
 type Statement uint8
@@ -33,7 +30,7 @@
 
 // Tracker follows the limit of one target process.
 type Tracker struct {
-	process Process
+	process exchange.TargetProcess
 	limit   Limit
 	// namedAt is when an answer last named a limit.
 	namedAt time.Duration
@@ -44,7 +41,7 @@
 
 // Limit returns the limit of the process; it is not valid for any other process than the last one
 // observed.
-func (t *Tracker) Limit(p Process) Limit {
+func (t *Tracker) Limit(p exchange.TargetProcess) Limit {
 	if p != t.process {
 		return Limit{}
 	}
@@ -54,7 +51,7 @@
 // Observe records the statement of an answer that is received now to a request sent at sentAt.
 // Answers are received in any order: one to a request that was sent before the limit was last named
 // can lower the limit, but neither raise nor end it. Observe reports whether the limit changed.
-func (t *Tracker) Observe(p Process, sentAt, now time.Duration, s Statement, perSecond float64) bool {
+func (t *Tracker) Observe(p exchange.TargetProcess, sentAt, now time.Duration, s Statement, perSecond float64) bool {
 	t.follow(p)
 	before := t.limit
 	overtaken := t.limit.Valid && sentAt < t.namedAt
@@ -76,7 +73,7 @@
 
 // Report records the limit that another node knows from earlier answers. It counts only until this
 // node receives an answer of the process. Report reports whether the limit changed.
-func (t *Tracker) Report(p Process, limit Limit) bool {
+func (t *Tracker) Report(p exchange.TargetProcess, limit Limit) bool {
 	t.follow(p)
 	if t.observed || !limit.Valid || limit == t.limit {
 		return false
@@ -86,7 +83,7 @@
 }
 
 // follow forgets the former process when p is another one.
-func (t *Tracker) follow(p Process) {
+func (t *Tracker) follow(p exchange.TargetProcess) {
 	if t.process != p {
 		*t = Tracker{process: p}
 	}
--- a/core/ratelimit/tracker_test.go
+++ b/core/ratelimit/tracker_test.go
@@ -3,20 +3,22 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/auburnrelay/auburnrelay/core/exchange"
 )
 
 const ms = time.Millisecond
 
 func TestTracker(t *testing.T) {
-	p, restarted := Process{"i-1", 1000}, Process{"i-1", 2000}
+	p, restarted := exchange.TargetProcess{ID: "i-1", Born: 1000}, exchange.TargetProcess{ID: "i-1", Born: 2000}
 	limit := func(perSecond float64) Limit { return Limit{PerSecond: perSecond, Valid: true} }
 	type answer struct {
-		process      Process
+		process      exchange.TargetProcess
 		sentAt, at   time.Duration
 		statement    Statement
 		perSecond    float64
 		reported     Limit
-		wantProcess  Process
+		wantProcess  exchange.TargetProcess
 		want         Limit
 		wantsChanged bool
 	}
@@ -26,7 +28,7 @@
 	stated := func(s Statement, sentAt, at time.Duration, want Limit, changed bool) answer {
 		return answer{process: p, sentAt: sentAt, at: at, statement: s, wantProcess: p, want: want, wantsChanged: changed}
 	}
-	reported := func(process Process, l, want Limit, changed bool) answer {
+	reported := func(process exchange.TargetProcess, l, want Limit, changed bool) answer {
 		return answer{process: process, reported: l, wantProcess: process, want: want, wantsChanged: changed}
 	}
 	for name, answers := range map[string][]answer{
--- a/node/guard/limit.go
+++ b/node/guard/limit.go
@@ -9,8 +9,8 @@
 	"github.com/auburnrelay/auburnrelay/node/relay"
 )
 
-func processOf(local ownership.LocalTarget) ratelimit.Process {
-	return ratelimit.Process{ID: local.ID, Born: local.Born}
+func processOf(local ownership.LocalTarget) exchange.TargetProcess {
+	return exchange.TargetProcess{ID: local.ID, Born: local.Born}
 }
 
 // observeLimit records what an answer to a request sent at sentAt says about the target's limit. Only
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -117,7 +117,7 @@
 	if err != nil || h.Get(headerTarget) == "" {
 		return relay.TargetState{}
 	}
-	s := relay.TargetState{Process: ratelimit.Process{ID: h.Get(headerTarget), Born: born}}
+	s := relay.TargetState{Process: exchange.TargetProcess{ID: h.Get(headerTarget), Born: born}}
 	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil && limit >= 0 {
 		s.Limit = ratelimit.Limit{PerSecond: limit, Valid: true}
 	}
--- a/node/ingress/targetstates.go
+++ b/node/ingress/targetstates.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/auburnrelay/auburnrelay/core/ratelimit"
+	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
 )
@@ -19,7 +19,7 @@
 // targetStates holds what the processes of targets have said about themselves, as far as it differs
 // from the usual. The caller must serialize the calls.
 type targetStates struct {
-	byProcess map[ratelimit.Process]knownState
+	byProcess map[exchange.TargetProcess]knownState
 }
 
 type knownState struct {
@@ -28,11 +28,11 @@
 }
 
 func newTargetStates() targetStates {
-	return targetStates{byProcess: make(map[ratelimit.Process]knownState)}
+	return targetStates{byProcess: make(map[exchange.TargetProcess]knownState)}
 }
 
-func processOf(d ownership.Destination) ratelimit.Process {
-	return ratelimit.Process{ID: d.Target, Born: d.Born}
+func processOf(d ownership.Destination) exchange.TargetProcess {
+	return exchange.TargetProcess{ID: d.Target, Born: d.Born}
 }
 
 // of returns the state of the destination's target; zero if there is nothing unusual about it.
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -186,7 +186,7 @@
 // TargetState is what a target's process has said about itself in its answers. Nodes pass it on with
 // requests and results, so that a guard that has just started knows it before the first answer.
 type TargetState struct {
-	Process ratelimit.Process
+	Process exchange.TargetProcess
 	Limit   ratelimit.Limit
 }
 
