node: act on a target's answers that say that it leaves

The answer was not taken as a source of leaving.

The guard now reports it to ownership as it does a draining heartbeat: shared requests stop at once, the entry in the store says so, keys move away and are served for the drain time. The result carries it to the node where the request began, which does not choose that process for shared requests again and sends it no keyed ones after the drain time, whether or not the store, or the guard of a restarted node, knows of it. Another process with the same id is not bound.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -50,6 +50,8 @@
 	// ReportTargetEnded reports that nothing listens at the address of the target process with this
 	// id and start time in Unix milliseconds.
 	ReportTargetEnded(id string, born int64)
+	// ReportTargetLeaving reports that the target process has said in an answer that it leaves.
+	ReportTargetLeaving(id string, born int64)
 	// ReportKeyNotHeld reports that the target refused a key which it does not hold.
 	ReportKeyNotHeld(id string, born int64, key int)
 }
@@ -73,6 +75,8 @@
 	crashes       crashCounts
 	slots         int
 	limits        ratelimit.Tracker
+	// leaving is the last process of the target that has said in an answer that it leaves.
+	leaving exchange.TargetProcess
 	// sends counts the requests that were sent to the target since sendsCountedFrom.
 	sends            sendCount
 	sendsCountedFrom time.Duration
@@ -186,6 +190,9 @@
 	}
 	if meta := g.codec.DecodeAnswer(response.StatusCode, response.Header); meta.ID == r.ID {
 		g.observeLimit(local, sentAt, meta)
+		if meta.Leaving {
+			g.recordLeaving(processOf(local))
+		}
 	}
 	result := g.classifyAnswer(ctx, r, response)
 	if result.Outcome == outcome.NotRun {
--- a/node/guard/limit.go
+++ b/node/guard/limit.go
@@ -6,13 +6,8 @@
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/ratelimit"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
-	"github.com/auburnrelay/auburnrelay/node/relay"
 )
 
-func processOf(local ownership.LocalTarget) exchange.TargetProcess {
-	return exchange.TargetProcess{ID: local.ID, Born: local.Born}
-}
-
 // observeLimit records what an answer to a request sent at sentAt says about the target's limit. Only
 // a sealed answer without a limit ends one: a target may leave its limit out of refusals.
 func (g *Guard) observeLimit(local ownership.LocalTarget, sentAt time.Duration, meta exchange.AnswerMeta) {
@@ -31,27 +26,6 @@
 	}
 }
 
-// adoptState takes over what the sender of a request knows of the target, if this node has had no
-// answer of the target's process yet.
-func (g *Guard) adoptState(local ownership.LocalTarget, known relay.TargetState) {
-	if known.Process != processOf(local) {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.limits.Report(known.Process, known.Limit) {
-		g.applyLimit(local, g.elapsed())
-	}
-}
-
-// state returns what is known of the target from its answers.
-func (g *Guard) state(local ownership.LocalTarget) relay.TargetState {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	process := processOf(local)
-	return relay.TargetState{Process: process, Limit: g.limits.Limit(process)}
-}
-
 // applyLimit makes the queue keep the target's limit, and logs it; the caller holds the lock.
 func (g *Guard) applyLimit(local ownership.LocalTarget, now time.Duration) {
 	g.logLimit(local)
--- a/node/guard/quarantine_test.go
+++ b/node/guard/quarantine_test.go
@@ -28,6 +28,8 @@
 
 func (fakeGate) ReportTargetEnded(string, int64) {}
 
+func (fakeGate) ReportTargetLeaving(string, int64) {}
+
 func (fakeGate) ReportKeyNotHeld(string, int64, int) {}
 
 // headerCodec is a minimal codec: the header Id names the request, and the header Seal marks an
--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -40,9 +40,11 @@
 	headerRetryAfter = headerPrefix + "Retry-Us"
 	headerTarget     = headerPrefix + "Target"
 	headerRepeated   = headerPrefix + "Repeated"
-	// headerBorn and headerLimit hold the state of the target process that headerTarget names.
-	headerBorn  = headerPrefix + "Born"
-	headerLimit = headerPrefix + "Limit"
+	// headerBorn, headerLimit and headerLeaving hold the state of the target process that headerTarget
+	// names.
+	headerBorn    = headerPrefix + "Born"
+	headerLimit   = headerPrefix + "Limit"
+	headerLeaving = headerPrefix + "Leaving"
 )
 
 // deadlineMargin is how long after the request's deadline the sender still waits for the response.
@@ -109,6 +111,9 @@
 	if s.Limit.Valid {
 		h.Set(headerLimit, strconv.FormatFloat(s.Limit.PerSecond, 'g', -1, 64))
 	}
+	if s.Leaving {
+		h.Set(headerLeaving, "1")
+	}
 }
 
 // readState returns the state that writeState wrote; zero if there is none.
@@ -117,7 +122,7 @@
 	if err != nil || h.Get(headerTarget) == "" {
 		return relay.TargetState{}
 	}
-	s := relay.TargetState{Process: exchange.TargetProcess{ID: h.Get(headerTarget), Born: born}}
+	s := relay.TargetState{Process: exchange.TargetProcess{ID: h.Get(headerTarget), Born: born}, Leaving: h.Get(headerLeaving) != ""}
 	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil && limit >= 0 {
 		s.Limit = ratelimit.Limit{PerSecond: limit, Valid: true}
 	}
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -35,6 +35,9 @@
 	View  func() *ownership.View
 	Local func(ctx context.Context, r *relay.Request) relay.Result
 	Peers Sender
+	// DrainGrace is how long the owner of a key is still sent requests after it has said that it leaves,
+	// while its keys move to others.
+	DrainGrace time.Duration
 	// Retry limits the sends after the first one.
 	Retry  retry.Policy
 	Region string
@@ -152,7 +155,7 @@
 		return false
 	}
 	for _, d := range s.deps.View().Targets(s.request.Service) {
-		if d.Ready && !slices.Contains(s.tried, d.Target) {
+		if s.isReady(d) && !slices.Contains(s.tried, d.Target) {
 			return true
 		}
 	}
@@ -193,10 +196,13 @@
 	if s.request.Keyed {
 		d, version, ok := view.Owner(s.request.Service, s.request.Key)
 		s.request.TableVersion = version
-		if ok {
-			return s.send(ctx, d)
+		if !ok {
+			return relay.NotRun(outcome.ReasonNoOwner)
 		}
-		return relay.NotRun(outcome.ReasonNoOwner)
+		if leavingFor, leaving := s.leavingFor(d); leaving && leavingFor > s.deps.DrainGrace {
+			return relay.NotRun(outcome.ReasonTargetDraining)
+		}
+		return s.send(ctx, d)
 	}
 	targets := view.Targets(s.request.Service)
 	if len(targets) == 0 {
@@ -232,17 +238,31 @@
 	return result
 }
 
+// leavingFor returns for how long a target has been known to leave by its answers, and whether it does.
+func (d *Dispatcher) leavingFor(target ownership.Destination) (time.Duration, bool) {
+	now := time.Since(d.start)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.states.leavingFor(now, target)
+}
+
+// isReady reports whether a target accepts new requests of a shared service, as far as this node knows.
+func (d *Dispatcher) isReady(target ownership.Destination) bool {
+	_, leaving := d.leavingFor(target)
+	return target.Ready && !leaving
+}
+
 // candidates returns the targets to choose from. Those already tried count as ready only if no
 // other ready target is left.
 func (s *dispatchState) candidates(targets []ownership.Destination) []balance.Candidate {
 	untried := slices.ContainsFunc(targets, func(d ownership.Destination) bool {
-		return d.Ready && !slices.Contains(s.tried, d.Target)
+		return s.isReady(d) && !slices.Contains(s.tried, d.Target)
 	})
 	candidates := make([]balance.Candidate, len(targets))
 	for i, d := range targets {
 		candidates[i] = balance.Candidate{
 			Name: d.Node, Incarnation: hash(d.Target), SameRegion: d.Region == s.deps.Region, Slots: d.Slots,
-			Ready: d.Ready && (!untried || !slices.Contains(s.tried, d.Target)),
+			Ready: s.isReady(d) && (!untried || !slices.Contains(s.tried, d.Target)),
 		}
 	}
 	return candidates
--- a/node/ingress/targetstates.go
+++ b/node/ingress/targetstates.go
@@ -25,6 +25,8 @@
 type knownState struct {
 	relay.TargetState
 	recordedAt time.Duration
+	// leavingSince is when a result first said that the target leaves; valid only if Leaving is set.
+	leavingSince time.Duration
 }
 
 func newTargetStates() targetStates {
@@ -40,19 +42,32 @@
 	return t.byProcess[processOf(d)].TargetState
 }
 
+// leavingFor returns for how long the destination's target has been known to leave, and whether it does.
+func (t targetStates) leavingFor(now time.Duration, d ownership.Destination) (time.Duration, bool) {
+	s := t.byProcess[processOf(d)]
+	return now - s.leavingSince, s.Leaving
+}
+
 // record keeps the state that came with a result.
 func (t targetStates) record(now time.Duration, s relay.TargetState) {
 	if s.Process.ID == "" {
 		return
 	}
-	if !s.Limit.Valid {
+	before, known := t.byProcess[s.Process]
+	// A guard that has been restarted may not know yet that its target leaves.
+	s.Leaving = s.Leaving || before.Leaving
+	if !s.Limit.Valid && !s.Leaving {
 		delete(t.byProcess, s.Process)
 		return
 	}
-	if _, known := t.byProcess[s.Process]; !known && len(t.byProcess) >= maxTargetStates {
+	if !known && len(t.byProcess) >= maxTargetStates {
 		t.removeOld(now)
 	}
-	t.byProcess[s.Process] = knownState{TargetState: s, recordedAt: now}
+	after := knownState{TargetState: s, recordedAt: now, leavingSince: now}
+	if before.Leaving {
+		after.leavingSince = before.leavingSince
+	}
+	t.byProcess[s.Process] = after
 }
 
 func (t targetStates) removeOld(now time.Duration) {
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -20,9 +20,11 @@
 	lastResponse              time.Duration
 	// handovers holds the handover tokens of released slices by slice.
 	handovers map[int]string
-	// leavingSince is the time of the target's first heartbeat in state draining or of its leave
-	// call, whichever came first; zero before.
+	// leavingSince is the time of the target's first heartbeat in state draining, of its leave call or
+	// of its first answer that said that it leaves, whichever came first; zero before.
 	leavingSince time.Duration
+	// answeredLeaving is set once an answer of the target has said that it leaves.
+	answeredLeaving bool
 	// left is set once the target has called Leave; it gets no grants from then on.
 	left bool
 	// ended is set once the target's process is known to have ended.
@@ -33,7 +35,7 @@
 	return holding.Owner{Node: node, Target: p.report.ID, Born: p.report.Born}
 }
 
-func (p *targetProcess) isLeaving() bool { return p.left || p.report.Draining }
+func (p *targetProcess) isLeaving() bool { return p.left || p.answeredLeaving || p.report.Draining }
 
 // isAbsent reports whether the target has ended or sent no heartbeat for longer than silence.
 func (p *targetProcess) isAbsent(now, silence time.Duration) bool {
@@ -223,6 +225,25 @@
 	notify(o.reconcileSoon)
 }
 
+// ReportTargetLeaving records that the target process has said in an answer that it leaves.
+func (o *Ownership) ReportTargetLeaving(id string, born int64) {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	process := o.target
+	if process == nil || process.report.ID != id || process.report.Born != born || process.answeredLeaving {
+		return
+	}
+	if !process.isLeaving() {
+		process.leavingSince = now
+	}
+	process.answeredLeaving = true
+	o.cfg.Log.Info("target says in its answers that it leaves", "target", id, "born", born)
+	o.rebuildView(now)
+	notify(o.renewSoon)
+	notify(o.reconcileSoon)
+}
+
 // ReportTargetEnded records that nothing listens at the target's address, so its process has ended.
 func (o *Ownership) ReportTargetEnded(id string, born int64) {
 	now := o.cfg.Clock()
--- a/node/relay/relay.go
+++ b/node/relay/relay.go
@@ -188,6 +188,8 @@
 type TargetState struct {
 	Process exchange.TargetProcess
 	Limit   ratelimit.Limit
+	// Leaving is set once the process has said that it leaves.
+	Leaving bool
 }
 
 // NotRun returns the result of a request that certainly did not run.
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -205,10 +205,15 @@
 		Promise:        2*extendInterval + 2*d.settings.Target.HeartbeatSeconds.Duration(),
 		ExtendInterval: extendInterval, ExtendLimit: extendLimit, EntryExpiry: entryExpiry,
 		HoldMax: b.HoldMaxSeconds.Duration(), TargetTimeout: maxMissedHeartbeats * d.settings.Target.HeartbeatSeconds.Duration(),
-		DrainGrace: max(0, b.DrainSeconds.Duration()-drainMargin),
+		DrainGrace: d.drainGrace(),
 	}
 }
 
+// drainGrace returns how long requests are still sent to a leaving target.
+func (d *Daemon) drainGrace() time.Duration {
+	return max(0, d.settings.Bounds.DrainSeconds.Duration()-drainMargin)
+}
+
 // provision builds the request path and the servers and opens the listeners.
 func (d *Daemon) provision() error {
 	codec := platform.HeaderCodec{}
@@ -225,7 +230,7 @@
 	policy.Ratio = d.settings.Bounds.RetryRatio * retryRatioShare
 	policy.Burst = max(1, d.settings.Bounds.RetrySlack*retryRatioShare/retryNodes)
 	dispatcher := ingress.NewDispatcher(ingress.Dependencies{
-		View: d.ownership.View, Local: d.guard.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy,
+		View: d.ownership.View, Local: d.guard.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy, DrainGrace: d.drainGrace(),
 		Region: d.settings.Node.Region, Log: requestLog("ingress"), Metrics: metrics,
 	})
 	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service)
