node/guard: a limit of the target bounds its measured capacity

The keys of a target with a limit stayed with it, since its capacity was taken from its slots alone: in the test, with two other targets idle, 0.74 of the requests were served. The load in the node's entry now gives the limit as the capacity, so placement moves keys to targets with room and gives it no further ones.

TestKeysLeaveATargetWithALimit failed before (0.74, wanted 0.9) and passes.

--- a/core/holding/meter.go
+++ b/core/holding/meter.go
@@ -25,13 +25,24 @@
 type Load struct {
 	// Rate is the number of requests per second for the target's keys, served or not.
 	Rate float64 `json:"rate"`
-	// Capacity is the number of requests per second that its slots can serve; zero until enough
-	// requests were measured.
+	// Capacity is the number of requests per second that its slots can serve and its limit, if it has
+	// one, allows; zero if there is no limit and too few requests were measured.
 	Capacity float64 `json:"capacity"`
 	// Hot maps each hot slice to its requests per second.
 	Hot map[int]float64 `json:"hot,omitempty"`
 }
 
+// minCapacity is the lowest capacity of a target with a limit; zero would mean an unknown one.
+const minCapacity = 0.1
+
+// LimitCapacity bounds the capacity by a limit on the requests per second.
+func (l *Load) LimitCapacity(perSecond float64) {
+	limit := max(minCapacity, roundToTenth(perSecond))
+	if l.Capacity == 0 || limit < l.Capacity {
+		l.Capacity = limit
+	}
+}
+
 // Meter measures a target's load. It reads no clock and is not safe for concurrent use.
 type Meter struct {
 	counts   [SliceCount]float64
--- a/core/holding/moves_test.go
+++ b/core/holding/moves_test.go
@@ -164,6 +164,15 @@
 	}
 }
 
+func TestLimitBoundsTheCapacity(t *testing.T) {
+	for _, row := range []struct{ capacity, limit, want float64 }{{0, 30, 30}, {80, 30, 30}, {20, 30, 20}, {80, 0, minCapacity}} {
+		l := Load{Capacity: row.capacity}
+		if l.LimitCapacity(row.limit); l.Capacity != row.want {
+			t.Errorf("capacity %v with a limit of %v: %v, want %v", row.capacity, row.limit, l.Capacity, row.want)
+		}
+	}
+}
+
 // TestGrantsFitWithLongRows checks that every slice is granted in the end when encoded grants are
 // long, as in JSON or after many moves.
 func TestGrantsFitWithLongRows(t *testing.T) {
--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -73,8 +73,10 @@
 	dispatchTimer *time.Timer
 	meter         holding.Meter
 	crashes       crashCounts
-	slots         int
-	limits        ratelimit.Tracker
+	// slots and process are those of the target that the last request was for.
+	slots   int
+	process exchange.TargetProcess
+	limits  ratelimit.Tracker
 	// leaving is the last process of the target that has said in an answer that it leaves.
 	leaving exchange.TargetProcess
 	// sends counts the requests that were sent to the target since sendsCountedFrom.
@@ -108,7 +110,7 @@
 
 // serveAdmitted queues a request that the gate has admitted and runs it.
 func (g *Guard) serveAdmitted(ctx context.Context, r *relay.Request, local ownership.LocalTarget) relay.Result {
-	g.recordArrival(r, local.Slots)
+	g.recordArrival(r, local)
 	arrived := time.Now()
 	end := g.awaitSlot(ctx, r, local)
 	g.metrics.SlotWait(r.Kind.String(), time.Since(arrived))
@@ -146,13 +148,17 @@
 func (g *Guard) Load() holding.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.meter.Read(g.elapsed(), g.slots)
+	load := g.meter.Read(g.elapsed(), g.slots)
+	if limit := g.limits.Limit(g.process); limit.Valid {
+		load.LimitCapacity(limit.PerSecond)
+	}
+	return load
 }
 
-func (g *Guard) recordArrival(r *relay.Request, slots int) {
+func (g *Guard) recordArrival(r *relay.Request, local ownership.LocalTarget) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots = slots
+	g.slots, g.process = local.Slots, processOf(local)
 	if r.Keyed {
 		g.meter.Arrived(r.Key)
 	}
--- a/standin/sidecar/limit_test.go
+++ b/standin/sidecar/limit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -142,3 +143,32 @@
 		}
 	}
 }
+
+// Keys move away from a target whose limit is below the requests for them, so most are served.
+func TestKeysLeaveATargetWithALimit(t *testing.T) {
+	s := newDeployment(t, "k", "k", "k")
+	s.awaitServed(15*time.Second, s.nodes...)
+	limited := s.nodes[0]
+	limited.target.setAnswers("5", false)
+	var served, asked atomic.Int64
+	ask := func(d time.Duration) float64 {
+		served.Store(0)
+		asked.Store(0)
+		var group sync.WaitGroup
+		for began := time.Now(); time.Since(began) < d; time.Sleep(10 * time.Millisecond) {
+			group.Go(func() {
+				key := int(asked.Add(1)) * 4099 % 65536
+				if status, _ := s.send(s.nodes[key%3], http.MethodGet, "/look/x", key); status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		return float64(served.Load()) / float64(asked.Load())
+	}
+	ask(8 * time.Second)
+	if share := ask(3 * time.Second); share < 0.9 {
+		t.Errorf("%.2f of the requests were served although the other targets have room", share)
+	}
+	s.reportViolations()
+}
