core/balance: avoid a target whose limit is used up for as long as it says

A shared target that had just refused a request by its limit was chosen again at once by the same node, at the cost of a hop and a refusal for each choice. The picker now prefers others until the time that came with the refusal, at most for the penalty of an unreachable target.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -26,7 +26,8 @@
 	// LatencyDecay is the time over which a measured latency without new samples decays to the
 	// average of all targets, so that a target that was slow is tried again.
 	LatencyDecay time.Duration
-	// Penalty is how long a target that could not be reached is avoided.
+	// Penalty is how long a target that could not be reached is avoided, and the longest time for which
+	// one that refused a request is.
 	Penalty time.Duration
 	// Warmup is how long a target that appeared after this node's start gets less work.
 	Warmup time.Duration
@@ -243,6 +244,13 @@
 	r.measuredAt = now
 }
 
+// Avoid makes the picker prefer other candidates for a time, Policy.Penalty at most. It is meant for a
+// target that has told when it can take requests again.
+func (p *Picker) Avoid(now time.Duration, c Candidate, d time.Duration) {
+	r := p.record(now, c)
+	r.failedUntil = max(r.failedUntil, now+min(d, p.policy.Penalty))
+}
+
 // record returns the candidate's record and creates it if there is none or the node restarted.
 func (p *Picker) record(now time.Duration, c Candidate) *record {
 	r, known := p.records[c.Name]
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -26,12 +26,18 @@
 	failed := New(DefaultPolicy())
 	failed.Started(now, near)
 	failed.Finished(now, near, time.Millisecond, false, false)
+	full := New(DefaultPolicy())
+	full.Avoid(now-50*time.Millisecond, near, 100*time.Millisecond)
+	ready := New(DefaultPolicy())
+	ready.Avoid(now-150*time.Millisecond, near, 100*time.Millisecond)
 	cases := []struct{ name, got, want string }{
 		{"own region first", pick(New(DefaultPolicy()), far, near), "near"},
 		{"other region when none is near", pick(New(DefaultPolicy()), down, far), "far"},
 		{"other region when the near one is full", pick(busy, near, far), "far"},
 		{"other region when the near one failed", pick(failed, near, far), "far"},
 		{"failed one when nothing else is left", pick(failed, near), "near"},
+		{"other region while the near one takes no requests", pick(full, near, far), "far"},
+		{"own region once the near one takes requests again", pick(ready, near, far), "near"},
 		{"none ready", pick(New(DefaultPolicy()), down), "none"},
 	}
 	for _, c := range cases {
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -234,6 +234,9 @@
 		result.Reason != outcome.ReasonPeerLost
 	s.mu.Lock()
 	s.picker.Finished(finished, candidates[i], finished-now, result.Outcome == outcome.Answered, reached)
+	if result.Reason == outcome.ReasonTargetLimit {
+		s.picker.Avoid(finished, candidates[i], result.RetryAfter)
+	}
 	s.mu.Unlock()
 	return result
 }
