--- a/objects/memstore/memstore.go
+++ b/objects/memstore/memstore.go
@@ -123,6 +123,9 @@
 }
 
 func (s *Store) putLocked(object objects.Object, expected objects.Version) (objects.Version, error) {
+	if expected.Revision() == 0 {
+		expected = 0
+	}
 	if current := s.objects[object.Key].Version; current != expected {
 		return 0, conflictError(object.Key, current, expected)
 	}
@@ -148,6 +151,42 @@
 	return s.version, nil
 }
 
+// Copy is a copy of a store's state.
+type Copy struct {
+	objects  map[string]objects.Object
+	revision int64
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{objects: maps.Clone(s.objects), revision: s.version.Revision()}
+}
+
+// Restore returns to the state of a copy and begins a new era. All history is dropped, and the revisions
+// after that of the copy are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	era := s.version.Era() + 1
+	s.objects = make(map[string]objects.Object, len(c.objects))
+	for key, object := range c.objects {
+		object.Version = objects.NewVersion(era, object.Version.Revision())
+		s.objects[key] = object
+	}
+	s.version = objects.NewVersion(era, c.revision)
+	s.events, s.dropped = nil, s.version
+	s.notifyLocked()
+}
+
+// Era returns the store's era, which begins at zero.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version.Era()
+}
+
 func (s *Store) recordLocked(event objects.Event) {
 	s.events = append(s.events, event)
 	if excess := len(s.events) - s.history; excess > 0 {
--- a/objects/store.go
+++ b/objects/store.go
@@ -2,7 +2,8 @@
 //
 // The store keeps named objects of at most MaxValueBytes. Versions come from a single counter that
 // is incremented by every change to any object, so the versions of each object increase
-// monotonically. All shared and persistent state of the system goes through Store.
+// monotonically, also when the store loses changes (see Version). All shared and persistent state of
+// the system goes through Store.
 package objects
 
 import (
@@ -15,9 +16,6 @@
 // to 1 MB, and values are stored in base64, which adds a third.
 const MaxValueBytes = 760 << 10
 
-// Version identifies a state of an object; zero means that the object does not exist.
-type Version int64
-
 var (
 	// ErrNotFound reports that no object has the key.
 	ErrNotFound = errors.New("object not found")
--- a/standin/sidecar/sidecar_test.go
+++ b/standin/sidecar/sidecar_test.go
@@ -60,6 +60,7 @@
 type deployment struct {
 	t        *testing.T
 	storeURL string
+	store    *store.Server
 	recorder *recorder
 	nodes    []*node
 	lastID   atomic.Int64
@@ -100,9 +101,10 @@
 
 func newDeployment(t *testing.T, services ...string) *deployment {
 	t.Helper()
-	server := httptest.NewServer(store.New(store.Options{Encoding: body.CBOR}))
+	handler := store.New(store.Options{Encoding: body.CBOR})
+	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	s := &deployment{t: t, storeURL: server.URL, recorder: newRecorder()}
+	s := &deployment{t: t, storeURL: server.URL, store: handler, recorder: newRecorder()}
 	s.configure(1)
 	for i, service := range services {
 		s.addNode(fmt.Sprintf("vm-%d", i+1), service)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -100,8 +100,24 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstSeconds)))
 }
 
+// firstEra is the number of the first era on the wire.
+const firstEra = 1
+
+// eraWriter is a http.ResponseWriter that sets the store's era as it is when the response begins.
+type eraWriter struct {
+	http.ResponseWriter
+	memory *memstore.Store
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set(objectstore.HeaderEra, strconv.FormatInt(firstEra+w.memory.Era(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w = eraWriter{w, s.memory}
 	if s.encoding == body.CBOR && strings.HasPrefix(r.URL.Path, "/objects/") {
 		s.serveEncoded(w, r)
 		return
@@ -175,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	page := objectstore.Page{Items: []json.RawMessage{}, CurrentRev: int64(listing.Version)}
+	page := objectstore.Page{Items: []json.RawMessage{}, CurrentRev: listing.Version.Revision()}
 	size := 0
 	for _, object := range listing.Objects {
 		m := toWire(object)
@@ -207,14 +223,14 @@
 		return err
 	}
 	wait := min(time.Duration(waitMillis)*time.Millisecond, maxPollWait)
-	batch, err := s.memory.PollFor(c.Request().Context(), kind+"/", objects.Version(after), wait)
+	batch, err := s.memory.PollFor(c.Request().Context(), kind+"/", s.version(after), wait)
 	if err != nil {
 		return err
 	}
 	if batch.Reset {
 		return echo.NewHTTPError(http.StatusGone, "this history is gone")
 	}
-	changes := objectstore.Changes{Events: []objectstore.Change{}, CurrentRev: int64(batch.Next)}
+	changes := objectstore.Changes{Events: []objectstore.Change{}, CurrentRev: batch.Next.Revision()}
 	for _, event := range batch.Events {
 		object, err := json.Marshal(toWire(event.Object))
 		if err != nil {
@@ -256,13 +272,13 @@
 		return err
 	}
 	key := kind + "/" + name
-	expected := objects.Version(o.Meta.Rev)
 	current, err := s.memory.Get(c.Request().Context(), key)
 	if err != nil {
 		return err
 	}
-	if expected == 0 {
-		expected = current.Version
+	expected := current.Version
+	if o.Meta.Rev != 0 {
+		expected = s.version(o.Meta.Rev)
 	}
 	if expected == current.Version && bytes.Equal(o.Spec, current.Value) {
 		return c.JSON(http.StatusOK, toWire(current))
@@ -278,6 +294,12 @@
 	return c.JSON(http.StatusOK, toWire(objects.Object{Key: key, Value: spec, Version: version}))
 }
 
+// version returns the version of a revision that a caller has named: callers name no eras, so a revision
+// of a former era means the one that was given out again.
+func (s *Server) version(revision int64) objects.Version {
+	return objects.NewVersion(s.memory.Era(), revision)
+}
+
 // readObject reads and validates the object in the request body.
 func (s *Server) readObject(c echo.Context) (objectstore.Object, error) {
 	var o objectstore.Object
@@ -301,7 +323,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.memory.Delete(c.Request().Context(), kind+"/"+name, objects.Version(expected)); err != nil {
+	if err := s.memory.Delete(c.Request().Context(), kind+"/"+name, s.version(expected)); err != nil {
 		return err
 	}
 	return c.JSON(http.StatusOK, struct{}{})
@@ -314,7 +336,7 @@
 	if len(spec) == 0 {
 		spec = json.RawMessage("null")
 	}
-	return objectstore.Object{Meta: objectstore.Meta{Name: name, Rev: int64(o.Version)}, Spec: spec}
+	return objectstore.Object{Meta: objectstore.Meta{Name: name, Rev: o.Version.Revision()}, Spec: spec}
 }
 
 // limitRate returns middleware that answers calls above the limiter's rate with status 429.
