node/ownership: consent to a former revocation allows no takeover

A target was given keys while another one still worked on them (seen in the simulation only): a node was revoked, renewed its lease, and was revoked again. A third node that had missed the renewal while the store was away held the consent of the voters to the first revocation and took it for consent to the second one.

Cause: revokeLease accepted any revocation that it found in the store, not only the one that its caller knows and asks the voters about. It now takes every version other than the known one for news, after which the change is planned again.

The new test failed before.

--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -341,16 +341,17 @@
 		o.cfg.Log.Warn("malformed entry of a lost node", "peer", name, "cause", err.Error())
 		return false
 	}
-	if entry.RevokedBy != "" {
-		return true
-	}
 	if object.Version != p.version {
+		// Also a revocation may be a later one than that of p, with a renewal in between.
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.observeEntry(entry, object.Version, now)
 		o.rebuildView(now)
 		return false
 	}
+	if entry.RevokedBy != "" {
+		return true
+	}
 	revoked := *entry
 	revoked.RevokedBy = o.cfg.Self.Name
 	value, err := json.Marshal(revoked)
