--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -137,7 +137,7 @@
 	for _, p := range packed {
 		object, err := p.unpack()
 		if err != nil {
-			f.cfg.Log.Error("malformed object ignored", "key", p.Key, "version", int64(p.Version), "cause", err.Error())
+			f.cfg.Log.Error("malformed object ignored", "key", p.Key, "version", p.Version, "cause", err.Error())
 			continue
 		}
 		batch.Events = append(batch.Events, objects.Event{Object: object})
--- a/node/feed/reader.go
+++ b/node/feed/reader.go
@@ -87,7 +87,7 @@
 		changed, next = listing.Objects, listing.Version
 	}
 	if next < after {
-		return errors.Wrapf(errBehind, "version %d, known %d", next, after)
+		return errors.Wrapf(errBehind, "version %s, known %s", next, after)
 	}
 	confirmedAt := f.cfg.Clock()
 	f.apply(prefix, update{objects: packNewer(changed, after), next: next, confirmedAt: confirmedAt})
--- a/node/sidecar/config.go
+++ b/node/sidecar/config.go
@@ -48,7 +48,7 @@
 	began := time.Now()
 	config, err := platform.DecodeConfig(o.Value)
 	if err != nil {
-		c.log.Error("malformed configuration ignored", "store_version", int64(o.Version), "cause", err.Error())
+		c.log.Error("malformed configuration ignored", "store_version", o.Version, "cause", err.Error())
 		return
 	}
 	old := c.inForce.Load()
@@ -57,7 +57,7 @@
 		return
 	}
 	c.inForce.Store(config)
-	c.log.Info("configuration in force", "config", config.Version, "store_version", int64(o.Version),
+	c.log.Info("configuration in force", "config", config.Version, "store_version", o.Version,
 		"routes", len(config.Routes), "services", len(config.Services), "bytes", len(o.Value),
 		"decode_ms", time.Since(began).Milliseconds())
 }
