node/ownership: keys have one owner after the store returned from an older copy

What callers saw: keys were given to a second target while the first still worked on them (OWNER), and the owner of a key had lost it in a write that the store no longer knew, or the other way round.

Cause: a table of slices was trusted because the store held it. After a return the store holds an older one, and owners, takers and restarted nodes know different tables and leases; conditional writes on revisions that were given out again overwrite newer tables.

A table now records the era of its last write. One of a former era is not acted on: the first node that finds it writes the latest table that it knows, under tokens above all lost ones. Until no lease from before the era can be valid (the longest extension), only owners that have held a slice without a break act on it, nothing is taken over and nothing without an owner is assigned; then all older grants get new tokens. Leases must be proved again, and no stale copy of the entries is read while it may show the state before the return.

--- a/core/holding/grants.go
+++ b/core/holding/grants.go
@@ -59,9 +59,14 @@
 // always included. New ones follow as long as they fit; the others are left to later heartbeats. A
 // handover token is repeated until the target reports that it holds the slice.
 func (t *Table) Grants(owner Owner, held []Held, limit ResponseLimit) []Grant {
+	return t.GrantsFrom(owner, held, limit, func(int) bool { return true })
+}
+
+// GrantsFrom is Grants for the slices that the function selects.
+func (t *Table) GrantsFrom(owner Owner, held []Held, limit ResponseLimit, selects func(slice int) bool) []Grant {
 	var kept, added []Grant
 	for i, s := range t.Slices {
-		if s.Owner < 0 || s.Next >= 0 || t.Owners[s.Owner] != owner {
+		if s.Owner < 0 || s.Next >= 0 || t.Owners[s.Owner] != owner || !selects(i) {
 			continue
 		}
 		g := Grant{From: i * SliceKeys, To: (i+1)*SliceKeys - 1, Fence: s.Fence, Handover: s.Handover}
--- a/core/holding/lease.go
+++ b/core/holding/lease.go
@@ -62,6 +62,9 @@
 // a takeover that was decided earlier from taking effect.
 func (l *Lease) Prove() { l.proved = true }
 
+// Unprove records that the store may have lost the write that proved the lease.
+func (l *Lease) Unprove() { l.proved = false }
+
 // Proved reports whether Prove was called since the lease was last acquired.
 func (l *Lease) Proved() bool { return l.proved }
 
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -24,8 +24,16 @@
 //
 // The caller must have established that the owner's grants have lapsed or its process has ended.
 func (t *Table) RemoveOwner(removed Owner) bool {
+	return t.RemoveOwnerFrom(removed, func(int) bool { return true })
+}
+
+// RemoveOwnerFrom is RemoveOwner for the slices that the function selects.
+func (t *Table) RemoveOwnerFrom(removed Owner, selects func(slice int) bool) bool {
 	changed := false
 	for i := range t.Slices {
+		if !selects(i) {
+			continue
+		}
 		s := &t.Slices[i]
 		if s.Next >= 0 && t.Owners[s.Next] == removed {
 			s.Next = -1
@@ -104,10 +112,15 @@
 // their capacity, which spreads adjacent slices over different targets unless preferAdjacent keeps
 // them together. It reports whether anything changed.
 func (t *Table) Assign(candidates []Candidate) bool {
+	return t.AssignFrom(candidates, func(int) bool { return true })
+}
+
+// AssignFrom is Assign for the slices that the function selects.
+func (t *Table) AssignFrom(candidates []Candidate, selects func(slice int) bool) bool {
 	m := t.newLoadModel(candidates)
 	changed := false
 	for i := range t.Slices {
-		if t.Slices[i].Owner >= 0 {
+		if t.Slices[i].Owner >= 0 || !selects(i) {
 			continue
 		}
 		to := m.leastLoaded(-1, m.rate(i))
@@ -263,8 +276,14 @@
 
 // NeedsChange reports whether Assign, Evacuate, Move or MergeGrants would change the table, which
 // it leaves unchanged.
+//
+// While the table is not settled, only Evacuate and Move count: both leave the change of the owner to the
+// present one.
 func (t *Table) NeedsChange(candidates []Candidate, limit ResponseLimit, settled bool) bool {
 	c := t.Clone()
+	if !t.IsSettled() {
+		return c.Evacuate(candidates) || c.Move(candidates, settled)
+	}
 	return c.Assign(candidates) || c.Evacuate(candidates) || c.Move(candidates, settled) || c.MergeGrants(candidates, limit)
 }
 
--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -72,6 +72,11 @@
 	// Gone lists owners whose targets have recently ended. Nodes that have not noticed it yet must
 	// not assign slices to them.
 	Gone []Owner
+	// Era is the store's era in which the table was last written.
+	Era int64
+	// EraFence is the highest fencing token issued before the era (see BeginEra); zero once the table is
+	// settled.
+	EraFence int64
 }
 
 // maxGone is the largest number of entries in Table.Gone.
@@ -157,6 +162,9 @@
 	Owners  []Owner `json:"owners"`
 	Gone    []Owner `json:"gone,omitempty"`
 	Runs    []run   `json:"runs"`
+	Era     int64   `json:"era,omitempty"`
+	// EraFence is that of Table.
+	EraFence int64 `json:"era_fence,omitempty"`
 }
 
 // run is a number of consecutive slices in the same state.
@@ -172,7 +180,7 @@
 // which changes the indexes into Owners.
 func (t *Table) Encode() ([]byte, error) {
 	t.compact()
-	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners, Gone: t.Gone}
+	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners, Gone: t.Gone, Era: t.Era, EraFence: t.EraFence}
 	for i, s := range t.Slices {
 		if i > 0 && s == t.Slices[i-1] {
 			r.Runs[len(r.Runs)-1].Count++
@@ -219,7 +227,7 @@
 	if err := json.Unmarshal(encoded, &r); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode table of slices"), ErrTable)
 	}
-	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners, Gone: r.Gone}
+	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners, Gone: r.Gone, Era: r.Era, EraFence: r.EraFence}
 	at := 0
 	for _, run := range r.Runs {
 		bad := run.Count < 1 || at+run.Count > SliceCount || run.Owner < -1 || run.Owner >= len(r.Owners) ||
--- a/node/ownership/expire.go
+++ b/node/ownership/expire.go
@@ -20,10 +20,10 @@
 	defer cancel()
 	// If the node has returned in the meantime, the version has changed and the call fails.
 	if err := o.store.Delete(callCtx, NodesPrefix+name, version); err != nil {
-		o.cfg.Log.Warn("node entry not deleted", "peer", name, "version", int64(version), "cause", err.Error())
+		o.cfg.Log.Warn("node entry not deleted", "peer", name, "version", version, "cause", err.Error())
 		return
 	}
-	o.cfg.Log.Info("node entry deleted", "peer", name, "version", int64(version), "reason", "silent")
+	o.cfg.Log.Info("node entry deleted", "peer", name, "version", version, "reason", "silent")
 }
 
 // expiredEntry returns a node whose entry this node should delete, and the entry's version; an empty
--- a/node/ownership/extend.go
+++ b/node/ownership/extend.go
@@ -41,7 +41,7 @@
 	if enough && int64(o.version) == request.Version {
 		o.lease.Extended(sent)
 	}
-	o.cfg.Log.Info("lease extension", "granted", enough, "yes", len(yes), "voters", len(voters), "version", request.Version,
+	o.cfg.Log.Info("lease extension", "granted", enough, "yes", len(yes), "voters", len(voters), "version", objects.Version(request.Version),
 		"until_ms", o.lease.Remaining(o.cfg.Clock()).Milliseconds())
 }
 
@@ -94,7 +94,7 @@
 	} else {
 		yes = o.hasReadStore && o.voter.Promise(now, request.Owner, request.Version)
 	}
-	o.cfg.Log.Info("vote", "owner", request.Owner, "version", request.Version, "revoked", request.Revoked, "yes", yes)
+	o.cfg.Log.Info("vote", "owner", request.Owner, "version", objects.Version(request.Version), "revoked", request.Revoked, "yes", yes)
 	return yes
 }
 
@@ -148,7 +148,7 @@
 	}
 	yes := o.askVoters(ctx, slices.Clone(voters), VoteRequest{Owner: name, Version: int64(version), Revoked: true})
 	safe = holding.IsMajority(voters, yes)
-	o.cfg.Log.Info("takeover asked", "peer", name, "version", int64(version), "consented", safe, "yes", len(yes), "voters", len(voters))
+	o.cfg.Log.Info("takeover asked", "peer", name, "version", version, "consented", safe, "yes", len(yes), "voters", len(voters))
 	if safe {
 		o.mu.Lock()
 		defer o.mu.Unlock()
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -68,17 +68,18 @@
 	if err != nil {
 		// The write may still take effect: the entry must be read to learn its present version.
 		*continued = false
-		o.cfg.Log.Warn("lease not renewed", "version", int64(expected), "cause", err.Error())
+		o.cfg.Log.Warn("lease not renewed", "version", expected, "cause", err.Error())
 		return false
 	}
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.enterEra(version.Era(), now)
 	o.version = version
 	o.lease.Renewed(sent, *continued)
 	o.observeEntry(&entry, version, now)
 	if !*continued {
-		o.cfg.Log.Info("lease acquired", "version", int64(version), "until_ms", (sent + o.cfg.Timing.Lease - now).Milliseconds())
+		o.cfg.Log.Info("lease acquired", "version", version, "until_ms", (sent + o.cfg.Timing.Lease - now).Milliseconds())
 	}
 	*continued = true
 	o.rebuildView(now)
@@ -100,8 +101,10 @@
 		return false, err
 	}
 	entry, err := decodeEntry(object)
+	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.enterEra(object.Version.Era(), now)
 	o.version = object.Version
 	if err != nil {
 		o.cfg.Log.Warn("malformed entry of this node; it will be overwritten", "cause", err.Error())
@@ -114,7 +117,8 @@
 	}
 	if entry.RevokedBy != "" {
 		o.lease.Lost()
-		o.cfg.Log.Warn("lease revoked", "by", entry.RevokedBy, "version", int64(object.Version))
+		o.dropClaims()
+		o.cfg.Log.Warn("lease revoked", "by", entry.RevokedBy, "version", object.Version)
 	}
 	return entry.RevokedBy == "", nil
 }
@@ -167,15 +171,10 @@
 // readEntriesLoop reads the entries of all nodes periodically, first from the store itself and
 // then from a copy that may be stale.
 func (o *Ownership) readEntriesLoop(ctx context.Context) {
-	list := o.store.List
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := list(callCtx, NodesPrefix)
-		cancel()
+		err := o.readEntries(ctx)
 		pause := o.cfg.Timing.EntryReadInterval
 		if err == nil {
-			list = o.store.ListStale
-			o.observeEntries(listing)
 			o.deleteExpiredEntry(ctx)
 		} else {
 			o.cfg.Log.Warn("node entries not read", "cause", err.Error())
@@ -187,6 +186,43 @@
 	}
 }
 
+// maxStaleness bounds the age of a stale listing.
+const maxStaleness = 10 * time.Second
+
+// readEntries reads the entries once. The first reading of a process is never a stale one, nor is any while a
+// stale one may show the state from before the store returned from a copy.
+func (o *Ownership) readEntries(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !o.needsFreshEntries() {
+		listing, err := o.store.ListStale(ctx, NodesPrefix)
+		if err != nil || !o.isNewEra(listing.Version) {
+			if err == nil {
+				o.observeEntries(listing)
+			}
+			return err
+		}
+	}
+	listing, err := o.store.List(ctx, NodesPrefix)
+	if err == nil {
+		o.observeEntries(listing)
+	}
+	return err
+}
+
+func (o *Ownership) needsFreshEntries() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	isYoung := o.era > 0 && o.cfg.Clock()-o.eraSince() < maxStaleness
+	return !o.hasReadStore || isYoung
+}
+
+func (o *Ownership) isNewEra(v objects.Version) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return v.Era() > o.era
+}
+
 // isStarting reports whether the process has started so recently that it reads the entries more
 // often, to find the other nodes soon.
 func (o *Ownership) isStarting() bool {
@@ -198,7 +234,8 @@
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	// The first listing that a process reads is never a stale one (see readEntriesLoop).
+	o.enterEra(listing.Version.Era(), now)
+	// The first listing that a process reads is never a stale one (see readEntries).
 	o.entriesReadAt, o.hasReadStore = now, true
 	present := make(map[string]bool, len(listing.Objects))
 	for _, object := range listing.Objects {
@@ -213,7 +250,7 @@
 	for name, p := range o.peers {
 		if !present[name] && p.version <= listing.Version {
 			delete(o.peers, name)
-			o.cfg.Log.Info("node entry no longer in the store", "peer", name, "version", int64(listing.Version))
+			o.cfg.Log.Info("node entry no longer in the store", "peer", name, "version", listing.Version)
 		}
 	}
 	o.rebuildView(now)
@@ -226,7 +263,7 @@
 	if p == nil {
 		p = &peer{watch: holding.LeaseWatch{}}
 		o.peers[entry.Name] = p
-		o.cfg.Log.Info("node found", "peer", entry.Name, "address", entry.Address, "version", int64(version))
+		o.cfg.Log.Info("node found", "peer", entry.Name, "address", entry.Address, "version", version)
 	}
 	if version <= p.version {
 		return
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -14,6 +14,9 @@
 // the node's entry names (holding.Voter). A takeover therefore needs the consent of a majority, or
 // waits until every possible extension has ended.
 //
+// The store may return from an older copy (a new era, see objects.Version) that lacks the latest writes
+// of entries and tables. Owners and takers then know different tables for a while; see restore.go.
+//
 // Any node may plan changes to a table: the live node whose name sorts first acts at once, the
 // others after a delay that grows with their rank. If two act concurrently, the conditional writes
 // let only one succeed.
@@ -168,6 +171,12 @@
 	// consentedRevocations holds, by node, the version of the revocation for which a majority of
 	// the voters has consented to the takeover.
 	consentedRevocations map[string]objects.Version
+	// era is the latest era of the store that this process has seen. It began at about eraBeganAt, which is
+	// zero if that was before the process read the store.
+	era        int64
+	eraBeganAt time.Duration
+	// restored holds, by service, what is known of a table that the store may have lost writes of.
+	restored map[string]*restoredTable
 }
 
 // table is the table of a service as last read or written.
@@ -184,6 +193,7 @@
 		lease:                holding.Lease{Length: cfg.Timing.Lease, Promise: cfg.Timing.Promise, Limit: cfg.Timing.ExtendLimit},
 		voter:                holding.NewVoter(cfg.Timing.Promise, cfg.Clock()),
 		consentedRevocations: make(map[string]objects.Version),
+		restored:             make(map[string]*restoredTable),
 		leaveNotices:         make(map[string]leaveNotice),
 		peers:                make(map[string]*peer),
 		tables:               make(map[string]*table),
--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -37,15 +37,17 @@
 		o.cfg.Log.Warn("malformed table ignored", "key", object.Key, "cause", err.Error())
 		return
 	}
+	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.tables[t.Service]
 	if TablesPrefix+t.Service != object.Key || known != nil && known.version >= object.Version {
 		return
 	}
-	o.tables[t.Service] = &table{Table: t, version: object.Version}
-	o.cfg.Log.Info("table read", "service", t.Service, "version", int64(object.Version), "fence", t.Fence)
-	o.rebuildView(o.cfg.Clock())
+	o.enterEra(object.Version.Era(), now)
+	o.setTable(t.Service, o.mergeRestored(known, &table{Table: t, version: object.Version}, now))
+	o.cfg.Log.Info("table read", "service", t.Service, "version", object.Version, "fence", t.Fence)
+	o.rebuildView(now)
 	notify(o.reconcileSoon)
 }
 
@@ -85,7 +87,9 @@
 type tableChange struct {
 	table    *holding.Table
 	expected objects.Version
-	reasons  []string
+	// isNew is set if no table of the service is known.
+	isNew   bool
+	reasons []string
 	// provesLease is set if the write proves the lease (see holding.Lease.Prove).
 	provesLease bool
 	// revokeFirst lists the nodes whose leases must be revoked before the write.
@@ -110,20 +114,22 @@
 	}
 	version, err := o.put(ctx, TablesPrefix+service, value, change.expected)
 	if err != nil {
-		o.cfg.Log.Warn("table not written", "service", service, "expected", int64(change.expected),
+		o.cfg.Log.Warn("table not written", "service", service, "expected", change.expected,
 			"reasons", strings.Join(change.reasons, ","), "cause", err.Error())
 		o.rereadTable(ctx, service)
 		return
 	}
-	o.cfg.Log.Info("table written", "service", service, "version", int64(version), "fence", change.table.Fence,
+	o.cfg.Log.Info("table written", "service", service, "version", version, "fence", change.table.Fence,
 		"reasons", strings.Join(change.reasons, ","))
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.enterEra(version.Era(), o.cfg.Clock())
+	written := &table{Table: change.table, version: version}
 	if known := o.tables[service]; known == nil || known.version < version {
-		o.tables[service] = &table{Table: change.table, version: version}
+		o.setTable(service, written)
 	}
 	delete(o.planNeededSince, service)
-	if change.provesLease {
+	if change.provesLease && written.isCurrent() {
 		o.lease.Prove()
 	}
 	o.rebuildView(o.cfg.Clock())
@@ -132,9 +138,12 @@
 // rereadTable reads a table again after a write that failed or whose outcome is unknown.
 func (o *Ownership) rereadTable(ctx context.Context, service string) {
 	object, err := o.get(ctx, TablesPrefix+service)
-	if err == nil {
+	switch {
+	case err == nil:
 		o.observeTable(object)
-	} else if !errors.Is(err, objects.ErrNotFound) {
+	case errors.Is(err, objects.ErrNotFound):
+		o.observeLostTable(service)
+	default:
 		wait(ctx, retryPause, nil)
 	}
 }
@@ -145,13 +154,22 @@
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	change := &tableChange{table: holding.NewTable(service)}
-	if t := o.tables[service]; t != nil {
+	change := &tableChange{}
+	t := o.tables[service]
+	if t != nil {
 		change.table, change.expected = t.Clone(), t.version
+	} else {
+		change.table, change.isNew = holding.NewTableInEra(service, o.era), true
+		o.recordUnknownTable(change.table)
+	}
+	if t != nil && !t.isCurrent() {
+		o.planEra(change, service, now)
+	} else {
+		o.planClaims(change, service, now)
+		o.planLocal(change, service, now)
+		o.planLeaseProof(change, service, now)
+		o.planShared(change, service, now)
 	}
-	o.planLocal(change, service, now)
-	o.planLeaseProof(change, service, now)
-	o.planShared(change, service, now)
 	if len(change.reasons) == 0 {
 		return nil
 	}
@@ -181,16 +199,25 @@
 	if process := o.target; process != nil && process.report.Service == service && !process.isAbsent(now, o.cfg.Timing.TargetTimeout) {
 		change.addReason(change.table.UnmarkGone(process.owner(o.cfg.Self.Name)), "target returned")
 	}
-	anyRemoved := false
+	removed := make(map[int]bool)
 	for _, owner := range t.Owners {
 		if owner.Node == o.cfg.Self.Name && o.hasEnded(owner, now) {
 			change.table.MarkGone(owner)
-			anyRemoved = change.table.RemoveOwner(owner) || anyRemoved
+			change.table.RemoveOwnerFrom(owner, func(slice int) bool {
+				if holder, ok := t.OwnerOf(slice); !ok || holder != owner {
+					return true
+				}
+				if o.isCertain(service, owner, slice) {
+					removed[slice] = true
+				}
+				return removed[slice]
+			})
 		}
 	}
-	if anyRemoved {
+	if len(removed) > 0 {
 		change.addReason(true, "target gone")
-		change.addReason(change.table.Assign(o.candidates(service, now)), "assigned")
+		isRemoved := func(slice int) bool { return change.table.IsSettled() || removed[slice] }
+		change.addReason(change.table.AssignFrom(o.candidates(service, now), isRemoved), "assigned")
 	}
 }
 
@@ -229,7 +256,10 @@
 // planShared plans the changes that any node may make: it removes owners at lost nodes, and assigns
 // and moves slices.
 func (o *Ownership) planShared(change *tableChange, service string, now time.Duration) {
-	lost := o.lostOwners(change.table, now)
+	var lost map[holding.Owner]*peer
+	if change.table.IsSettled() {
+		lost = o.lostOwners(change.table, now)
+	}
 	candidates := o.candidates(service, now)
 	if change.table.IsMoving() {
 		o.movingSeenAt[service] = now
@@ -253,17 +283,21 @@
 			change.revokeFirst = append(change.revokeFirst, *p)
 		}
 	}
-	change.addReason(change.table.Assign(candidates), "assigned")
+	if change.table.IsSettled() {
+		change.addReason(change.table.Assign(candidates), "assigned")
+	}
 	change.addReason(change.table.Evacuate(candidates), "leaving targets evacuated")
 	change.addReason(change.table.Move(candidates, settled), "moved")
-	change.addReason(change.table.MergeGrants(candidates, o.cfg.ResponseLimit), "grants merged")
+	if change.table.IsSettled() {
+		change.addReason(change.table.MergeGrants(candidates, o.cfg.ResponseLimit), "grants merged")
+	}
 }
 
 // planDelay returns how long this node leaves a needed change to the live nodes whose names sort
 // before its own. The first assignment of a service also waits for further targets.
 func (o *Ownership) planDelay(change *tableChange, candidates []holding.Candidate, now time.Duration) time.Duration {
 	delay := time.Duration(o.rank(now)) * o.cfg.Timing.RankDelay
-	if change.table.Fence == 0 && len(candidates) > 0 {
+	if change.isNew && len(candidates) > 0 {
 		delay += o.cfg.Timing.InitialAssignDelay
 	}
 	return delay
@@ -363,7 +397,7 @@
 		o.cfg.Log.Warn("lease not revoked", "peer", name, "cause", err.Error())
 		return false
 	}
-	o.cfg.Log.Warn("lease revoked", "peer", name, "version", int64(version), "silent_ms", (now - p.watch.Seen).Milliseconds())
+	o.cfg.Log.Warn("lease revoked", "peer", name, "version", version, "silent_ms", (now - p.watch.Seen).Milliseconds())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.observeEntry(&revoked, version, o.cfg.Clock())
--- a/node/ownership/simstore_test.go
+++ b/node/ownership/simstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 // simStore is the simulated store that all nodes share.
 type simStore struct {
 	objects map[string]objects.Object
+	// version is the version of the latest change; all objects have versions of its era.
 	version objects.Version
 	// downUntil is the time until which the store is unavailable.
 	downUntil time.Duration
@@ -21,8 +23,19 @@
 	// lostResponses is the fraction of writes whose response is lost, and delayedWrites the fraction
 	// of writes that are applied later.
 	lostResponses, delayedWrites float64
-	// copies are former states, for stale listings.
-	copies []storeCopy
+	// copies are former states for stale listings, and restorable those to which the store may return.
+	copies, restorable []storeCopy
+}
+
+// restore returns the store to a former state in a new era.
+func (s *simStore) restore(c storeCopy) {
+	era := s.version.Era() + 1
+	s.objects = make(map[string]objects.Object, len(c.objects))
+	for key, o := range c.objects {
+		o.Version = objects.NewVersion(era, o.Version.Revision())
+		s.objects[key] = o
+	}
+	s.version = objects.NewVersion(era, c.listing.Version.Revision())
 }
 
 // delayedWrite is a conditional write to be applied at a given time.
@@ -36,6 +49,7 @@
 type storeCopy struct {
 	at      time.Duration
 	listing objects.Listing
+	objects map[string]objects.Object
 }
 
 // storeError returns an error while the node cannot reach the store.
@@ -53,6 +67,7 @@
 		return objects.Object{}, err
 	}
 	o, ok := n.sim.store.objects[key]
+	n.seenEra = n.sim.store.version.Era()
 	n.sim.passTime()
 	if !ok {
 		return o, errors.WithStack(objects.ErrNotFound)
@@ -67,6 +82,9 @@
 	if err := n.storeError(); err != nil {
 		return 0, err
 	}
+	if expected != 0 && expected.Era() < n.seenEra {
+		return 0, errors.WithStack(objects.ErrConflict)
+	}
 	write := delayedWrite{object: objects.Object{Key: key, Value: value, WriteID: id}, expected: expected}
 	if sim.chance(sim.store.delayedWrites) {
 		write.at = sim.now + sim.randomUpTo(6*second)
@@ -74,6 +92,7 @@
 		return 0, errors.WithStack(objects.ErrUnknownOutcome)
 	}
 	version, ok := sim.store.apply(write)
+	n.seenEra = sim.store.version.Era()
 	lost := sim.chance(sim.store.lostResponses)
 	sim.passTime()
 	switch {
@@ -86,9 +105,10 @@
 	}
 }
 
-// apply carries out a write if its condition holds, and reports whether it did.
+// apply carries out a write if its condition holds, and reports whether it did. As in the real store, the
+// condition is on the revision alone, which another object of a later era may have.
 func (s *simStore) apply(write delayedWrite) (objects.Version, bool) {
-	if s.objects[write.object.Key].Version != write.expected {
+	if s.objects[write.object.Key].Version.Revision() != write.expected.Revision() {
 		return 0, false
 	}
 	s.version++
@@ -112,19 +132,31 @@
 	if err := n.storeError(); err != nil {
 		return objects.Listing{}, err
 	}
+	n.seenEra = n.sim.store.version.Era()
 	return n.sim.store.listing(), nil
 }
 
-// ListStale implements Store.
+// ListStale implements Store. All responses name the present era, also one that shows a state from before it.
 func (n *simNode) ListStale(context.Context, string) (objects.Listing, error) {
 	if err := n.storeError(); err != nil {
 		return objects.Listing{}, err
 	}
-	copies := n.sim.store.copies
-	if len(copies) == 0 || n.sim.chance(0.5) {
-		return n.sim.store.listing(), nil
+	store := &n.sim.store
+	n.seenEra = store.version.Era()
+	if len(store.copies) == 0 || n.sim.chance(0.5) {
+		return store.listing(), nil
 	}
-	return copies[n.sim.random.IntN(len(copies))].listing, nil
+	return inEra(store.copies[n.sim.random.IntN(len(store.copies))].listing, n.seenEra), nil
+}
+
+// inEra returns a listing with its revisions as versions of an era.
+func inEra(l objects.Listing, era int64) objects.Listing {
+	l.Version = objects.NewVersion(era, l.Version.Revision())
+	l.Objects = slices.Clone(l.Objects)
+	for i := range l.Objects {
+		l.Objects[i].Version = objects.NewVersion(era, l.Objects[i].Version.Revision())
+	}
+	return l
 }
 
 // Delete implements Store.
@@ -134,7 +166,7 @@
 		return err
 	}
 	s := &n.sim.store
-	if s.objects[key].Version != expected {
+	if expected.Era() < n.seenEra || s.objects[key].Version.Revision() != expected.Revision() {
 		return errors.WithStack(objects.ErrConflict)
 	}
 	s.version++
--- a/node/ownership/simulation_test.go
+++ b/node/ownership/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -36,6 +37,9 @@
 	store simStore
 	// fences holds, by slice, the highest fence with which it was ever held.
 	fences [holding.SliceCount]int64
+	log    *slog.Logger
+	// faults is the number of kinds of faults that are injected.
+	faults int
 	// servedTime is the time during which the first slice was held.
 	servedTime time.Duration
 }
@@ -49,10 +53,10 @@
 	clockRate float64
 	// continued is the state of renewOnce.
 	continued bool
-	// hasReadEntries is set once the node's process has read the entries.
-	hasReadEntries bool
-	inCall         bool
-	gone           bool
+	// seenEra is the latest era in the store's responses to this node.
+	seenEra int64
+	inCall  bool
+	gone    bool
 	// asking is held while a request of this node for a vote is answered.
 	asking sync.Mutex
 	// storeCutUntil and peersCutUntil are the times until which the node cannot reach the store or
@@ -65,8 +69,17 @@
 	target          *simTarget
 }
 
-func newSimulation(t *testing.T, seed uint64, nodes int) *simulation {
-	sim := &simulation{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1))}
+// The numbers of kinds of faults in injectFault, with and without returns of the store to a copy.
+const (
+	allFaults            = 11
+	faultsWithoutRestore = 9
+)
+
+func newSimulation(t *testing.T, seed uint64, nodes, faults int) *simulation {
+	sim := &simulation{t: t, seed: seed, faults: faults, random: rand.New(rand.NewPCG(seed, 1)), log: slog.New(slog.DiscardHandler)}
+	if os.Getenv("OWNERSHIP_LOG") != "" {
+		sim.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{ReplaceAttr: sim.stamp}))
+	}
 	sim.store.objects = make(map[string]objects.Object)
 	for i := range nodes {
 		n := &simNode{sim: sim, name: fmt.Sprintf("vm-%d", i), clockRate: 1 + 0.01*(2*sim.random.Float64()-1)}
@@ -83,6 +96,14 @@
 
 func (sim *simulation) chance(probability float64) bool { return sim.random.Float64() < probability }
 
+// stamp replaces the time of a log line by the simulated one.
+func (sim *simulation) stamp(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == slog.TimeKey {
+		return slog.Duration(a.Key, sim.now)
+	}
+	return a
+}
+
 // start starts a new process of the node.
 func (n *simNode) start() {
 	n.Ownership = New(Config{
@@ -100,9 +121,9 @@
 		ResponseLimit: holding.ResponseLimit{Bytes: 1 << 20, GrantBytes: func(holding.Grant) int { return 1 }},
 		Monitor:       noMeasure{},
 		Voters:        n,
-		Log:           slog.New(slog.DiscardHandler),
+		Log:           n.sim.log.With("node", n.name),
 	}, n)
-	n.continued, n.hasReadEntries, n.deliveredTables = false, false, make(map[string]objects.Version)
+	n.continued, n.seenEra, n.deliveredTables = false, 0, make(map[string]objects.Version)
 	n.nextRenew, n.nextRead, n.nextReconcile, n.nextExtend = n.sim.now, n.sim.now, n.sim.now, n.sim.now
 }
 
@@ -137,6 +158,13 @@
 	sim.run(sim.now + d)
 }
 
+// A copy is taken each half a second. maxCopies is the number of those that stale listings show, and
+// maxRestorable that of those to which the store may return.
+const (
+	maxCopies     = 6
+	maxRestorable = 24
+)
+
 // simStep is the simulated time between two steps of all nodes.
 const simStep = 20 * time.Millisecond
 
@@ -167,8 +195,10 @@
 	}
 	sim.store.delayed = remaining
 	if sim.now%(500*time.Millisecond) == 0 {
-		sim.store.copies = append(sim.store.copies, storeCopy{sim.now, sim.store.listing()})
-		sim.store.copies = sim.store.copies[max(0, len(sim.store.copies)-6):]
+		sim.store.copies = append(sim.store.copies, storeCopy{sim.now, sim.store.listing(), maps.Clone(sim.store.objects)})
+		sim.store.restorable = append(sim.store.restorable, sim.store.copies[len(sim.store.copies)-1])
+		sim.store.copies = sim.store.copies[max(0, len(sim.store.copies)-maxCopies):]
+		sim.store.restorable = sim.store.restorable[max(0, len(sim.store.restorable)-maxRestorable):]
 	}
 }
 
@@ -192,7 +222,9 @@
 		}
 	case sim.now >= n.nextRead:
 		n.nextRead = sim.now + n.cfg.Timing.EntryReadInterval
-		n.readEntries(ctx)
+		if n.readEntries(ctx) == nil {
+			n.deleteExpiredEntry(ctx)
+		}
 	case sim.now >= n.nextExtend:
 		n.nextExtend = sim.now + n.cfg.Timing.ExtendInterval
 		n.extend(ctx)
@@ -206,19 +238,6 @@
 	}
 }
 
-// readEntries reads the entries as readEntriesLoop does.
-func (n *simNode) readEntries(ctx context.Context) {
-	list := n.ListStale
-	if !n.hasReadEntries {
-		list = n.List
-	}
-	if l, err := list(ctx, NodesPrefix); err == nil {
-		n.hasReadEntries = true
-		n.observeEntries(l)
-		n.deleteExpiredEntry(ctx)
-	}
-}
-
 // deliverTable delivers the table to the node, as a watch would, if the store is reachable. Delivery
 // is delayed at random.
 func (n *simNode) deliverTable() {
@@ -259,7 +278,7 @@
 func (sim *simulation) injectFault() {
 	i := sim.random.IntN(len(sim.nodes))
 	n := sim.nodes[i]
-	switch sim.random.IntN(9) {
+	switch sim.random.IntN(sim.faults) {
 	case 0:
 		sim.store.downUntil = sim.now + sim.randomUpTo(18*second)
 	case 1:
@@ -288,13 +307,18 @@
 		sim.store.lostResponses, sim.store.delayedWrites = 0.4*sim.random.Float64(), 0.2*sim.random.Float64()
 	case 8:
 		sim.store.lostResponses, sim.store.delayedWrites = 0, 0
+	case 9, 10:
+		if len(sim.store.restorable) > 0 {
+			sim.store.restore(sim.store.restorable[sim.random.IntN(len(sim.store.restorable))])
+			sim.store.downUntil = sim.now + sim.randomUpTo(3*second)
+		}
 	}
 }
 
 // simulate runs the simulation of one seed for the given time and returns the fraction of the time
 // during which the first slice was held.
-func simulate(t *testing.T, seed uint64, length time.Duration) float64 {
-	sim := newSimulation(t, seed, 3+int(seed%4))
+func simulate(t *testing.T, seed uint64, length time.Duration, faults int) float64 {
+	sim := newSimulation(t, seed, 3+int(seed%4), faults)
 	for sim.now < length {
 		sim.run(sim.now + sim.randomUpTo(4*second))
 		sim.injectFault()
@@ -304,12 +328,18 @@
 
 // TestWalk runs simulations with random faults of the store, the nodes and the targets, and checks
 // that no slice ever has two holders and that its fences increase. OWNERSHIP_SEEDS is the number of
-// seeds and OWNERSHIP_FIRST the first one.
-func TestWalk(t *testing.T) {
+// seeds and OWNERSHIP_FIRST the first one; OWNERSHIP_LOG shows the log of the nodes.
+func TestWalk(t *testing.T) { walk(t, faultsWithoutRestore) }
+
+// TestWalkWithRestoredStore is TestWalk with a store that also returns to copies of up to 12 s before.
+func TestWalkWithRestoredStore(t *testing.T) { walk(t, allFaults) }
+
+func walk(t *testing.T, faults int) {
+	t.Helper()
 	seeds, first := envNumber(t, "OWNERSHIP_SEEDS", 8), envNumber(t, "OWNERSHIP_FIRST", 1)
 	held := 0.0
 	for seed := first; seed < first+seeds; seed++ {
-		held += simulate(t, seed, 90*second)
+		held += simulate(t, seed, 90*second, faults)
 	}
 	t.Logf("%d seeds, held for %.2f of the time", seeds, held/float64(seeds))
 	// The checks prove nothing if no slice is ever held.
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -162,7 +162,10 @@
 	if hold == 0 {
 		return nil, 0
 	}
-	grants := t.Grants(process.owner(o.cfg.Self.Name), process.report.Held, o.cfg.ResponseLimit)
+	owner := process.owner(o.cfg.Self.Name)
+	grants := t.GrantsFrom(owner, process.report.Held, o.cfg.ResponseLimit, func(slice int) bool {
+		return o.isCertain(t.Service, owner, slice)
+	})
 	previousResponse := process.lastResponse
 	process.lastResponse = now
 	for _, g := range grants {
@@ -192,8 +195,12 @@
 	if process.grantsLapsed(now) {
 		held = nil
 	}
-	released := t.Releasable(process.owner(o.cfg.Self.Name), held, process.handovers)
+	owner := process.owner(o.cfg.Self.Name)
+	released := t.Releasable(owner, held, process.handovers)
 	for slice := range released {
+		if !o.isCertain(t.Service, owner, slice) {
+			delete(released, slice)
+		}
 		if !process.grantsLapsed(now) && process.heartbeatAt <= process.lastGranted[slice] {
 			delete(released, slice)
 		}
