--- a/objects/contract/contract.go
+++ b/objects/contract/contract.go
@@ -29,6 +29,8 @@
 type Harness struct {
 	Store     objects.Store
 	SetFaults func(memstore.Faults)
+	// Memory holds the objects of the store.
+	Memory *memstore.Store
 }
 
 // OpenFunc returns a new harness for one test.
@@ -41,6 +43,7 @@
 	t.Run("watch", func(t *testing.T) { runWatch(t, open) })
 	t.Run("race", func(t *testing.T) { runRace(t, open) })
 	t.Run("faults", func(t *testing.T) { runFaults(t, open) })
+	t.Run("restore", func(t *testing.T) { runRestore(t, open) })
 	t.Run("client", func(t *testing.T) { runClient(t, open) })
 }
 
--- a/objects/memstore/memstore_test.go
+++ b/objects/memstore/memstore_test.go
@@ -10,6 +10,6 @@
 func TestContract(t *testing.T) {
 	contract.Run(t, func(*testing.T) contract.Harness {
 		store := memstore.New(memstore.Options{PollWait: contract.PollWait, History: contract.History})
-		return contract.Harness{Store: store, SetFaults: store.SetFaults}
+		return contract.Harness{Store: store, SetFaults: store.SetFaults, Memory: store}
 	})
 }
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -100,9 +100,6 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstSeconds)))
 }
 
-// firstEra is the number of the first era on the wire.
-const firstEra = 1
-
 // eraWriter is a http.ResponseWriter that sets the store's era as it is when the response begins.
 type eraWriter struct {
 	http.ResponseWriter
@@ -111,7 +108,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w eraWriter) WriteHeader(status int) {
-	w.Header().Set(objectstore.HeaderEra, strconv.FormatInt(firstEra+w.memory.Era(), 10))
+	w.Header().Set(objectstore.HeaderEra, strconv.FormatInt(objectstore.FirstEra+w.memory.Era(), 10))
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -38,15 +38,18 @@
 
 func runContract(t *testing.T, encoding body.Encoding) {
 	contract.Run(t, func(t *testing.T) contract.Harness {
-		url := startServer(t, Options{
+		handler := New(Options{
 			ReadsPerSecond:  unlimited,
 			WritesPerSecond: unlimited,
 			Memory:          memstore.Options{History: contract.History},
 			Encoding:        encoding,
 		})
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
 		return contract.Harness{
-			Store:     objectstore.New(url, objectstore.Options{PollWait: contract.PollWait, Encoding: encoding}),
-			SetFaults: func(f memstore.Faults) { postFaults(t, url, f) },
+			Store:     objectstore.New(server.URL, objectstore.Options{PollWait: contract.PollWait, Encoding: encoding}),
+			SetFaults: func(f memstore.Faults) { postFaults(t, server.URL, f) },
+			Memory:    handler.Memory(),
 		}
 	})
 }
