--- a/node/feed/walk_test.go
+++ b/node/feed/walk_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/auburnrelay/auburnrelay/objects/memstore"
 )
 
 const (
@@ -28,6 +30,9 @@
 	mu sync.Mutex
 	// faultyUntil is, by node, when its last fault ends.
 	faultyUntil []time.Time
+	// older is a copy of the store, which last returned from one at restoredAt.
+	older      memstore.Copy
+	restoredAt time.Time
 }
 
 // walkSetting returns an integer from the environment, or fallback.
@@ -44,8 +49,8 @@
 	return n
 }
 
-// TestWalk hangs nodes, cuts them off from the store and slows their transfers at random while changes
-// are written. A change must reach each node without a fault of its own within applyLimit. FEED_SEEDS and
+// TestWalk hangs nodes, cuts them off from the store, slows their transfers and returns the store to older
+// copies at random while changes are written. A change that is not lost must reach each node without a fault of its own within applyLimit. FEED_SEEDS and
 // FEED_FIRST choose the seeds.
 func TestWalk(t *testing.T) {
 	first := walkSetting(t, "FEED_FIRST", 1)
@@ -56,6 +61,7 @@
 				region: newRegion(t, walkNodes), random: rand.New(rand.NewPCG(uint64(seed), 0)),
 				began: time.Now(), faultyUntil: make([]time.Time, walkNodes),
 			}
+			w.older = w.memory.Copy()
 			w.run()
 		})
 	}
@@ -64,15 +70,34 @@
 func (w *walk) run() {
 	for time.Since(w.began) < walkDuration {
 		time.Sleep(time.Duration(100+w.random.IntN(400)) * time.Millisecond)
-		if w.random.IntN(2) == 0 {
+		switch w.random.IntN(20) {
+		case 0:
+			w.restore()
+			w.checkChange()
+		case 1, 2, 3, 4, 5, 6, 7, 8, 9:
 			w.injectFault()
-			continue
+		default:
+			w.checkChange()
 		}
-		w.checkChange()
 	}
 	w.checks.Wait()
 }
 
+// restore returns the store to an older copy.
+func (w *walk) restore() {
+	w.memory.Restore(w.older)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.restoredAt = time.Now()
+}
+
+// isLost reports whether the store has returned from a copy since a change was written.
+func (w *walk) isLost(written time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.restoredAt.Before(written)
+}
+
 // injectFault gives a random node a fault for a random time.
 func (w *walk) injectFault() {
 	i := w.random.IntN(walkNodes)
@@ -100,6 +125,9 @@
 
 // checkChange writes a change and checks it on the nodes that have had no fault for walkSettle.
 func (w *walk) checkChange() {
+	if w.random.IntN(4) == 0 {
+		w.older = w.memory.Copy()
+	}
 	version, written := w.write(), time.Now()
 	var sound []int
 	for i := range w.nodes {
@@ -109,6 +137,9 @@
 	}
 	w.checks.Go(func() {
 		time.Sleep(applyLimit)
+		if w.isLost(written) {
+			return
+		}
 		for _, i := range sound {
 			if n := w.nodes[i]; n.version.Load() < version && !w.isFaultySince(i, written) {
 				w.t.Errorf("%s has version %d %v after version %d was written, at %v of the walk",
