node/ownership: serve slices that were being moved when the store returned

Cause: the owner of a slice that is on its way has stopped serving it, and the write that gives it to the next owner was in doubt when the store went away. After the return nobody was certain to own it.

Each node of the service whose lease was proved when the era began now reports in the table: slices with later tokens in the table that it knew get their state from there. Once the next owner's node has reported and the table still names the former owner, the write in doubt did not take effect, so the former owner is certain again and may serve the slice or give it on. A write in doubt ends the claims on slices that it gives away.

--- a/core/holding/restore.go
+++ b/core/holding/restore.go
@@ -1,5 +1,7 @@
 package holding
 
+import "slices"
+
 // eraFenceGap is added to the fencing tokens for each new era. It exceeds the number of tokens that can
 // have been issued in the writes that the store has lost: a table is written at most 20 times a second,
 // and copies are seconds old.
@@ -22,8 +24,32 @@
 	t.Fence += eraFenceGap * (era - t.Era)
 	t.Era = era
 	t.EraFence = t.Fence
+	t.Reported = nil
+}
+
+// Report records what a node knew when the era began: slices with a later token than here get their state in
+// known. The node's lease must have been valid and proved at that time, so that it knew of every change of
+// the slices that it owned. Report returns whether anything changed.
+func (t *Table) Report(node string, known *Table) bool {
+	changed := false
+	for i, s := range known.Slices {
+		if s.Owner < 0 || s.Fence <= t.Slices[i].Fence {
+			continue
+		}
+		t.Slices[i] = Slice{Owner: t.ensureOwner(known.Owners[s.Owner]), Fence: s.Fence, Handover: s.Handover, Next: -1}
+		t.Fence = max(t.Fence, s.Fence)
+		changed = true
+	}
+	if t.HasReported(node) {
+		return changed
+	}
+	t.Reported = append(t.Reported, node)
+	return true
 }
 
+// HasReported reports whether a node has reported what it knew when the era began.
+func (t *Table) HasReported(node string) bool { return slices.Contains(t.Reported, node) }
+
 // Settle records that no grant from before the era can still run, so that all owners of the table may act.
 // Grants from before the era get a new token: a lost write may have issued a higher one for their slices.
 func (t *Table) Settle() {
@@ -34,7 +60,7 @@
 		}
 	}
 	t.advanceFence(changed)
-	t.EraFence = 0
+	t.EraFence, t.Reported = 0, nil
 }
 
 // IsSettled reports whether all owners that the table names may act.
--- a/core/holding/restore_test.go
+++ b/core/holding/restore_test.go
@@ -52,6 +52,29 @@
 	}
 }
 
+// TestReportKeepsTheLatestTokens merges a table that is newer for one slice and older for another.
+func TestReportKeepsTheLatestTokens(t *testing.T) {
+	known := NewTable("s")
+	known.Assign([]Candidate{{Owner: Owner{Node: "a"}}})
+	table := known.Clone()
+	known.Release(0, "")
+	known.Assign([]Candidate{{Owner: Owner{Node: "b"}}})
+	table.BeginEra(1)
+	table.Fence++
+	table.Slices[1] = Slice{Owner: table.ensureOwner(Owner{Node: "c"}), Fence: table.Fence, Next: -1}
+	if !table.Report("a", known) || table.Report("a", known) || !decodeAgain(t, table).HasReported("a") {
+		t.Error("the report is not recorded once")
+	}
+	for slice, want := range []string{"b", "c", "a"} {
+		if owner, _ := table.OwnerOf(slice); owner.Node != want {
+			t.Errorf("slice %d is owned by %q, want %q", slice, owner.Node, want)
+		}
+	}
+	if table.BeginEra(2); table.HasReported("a") {
+		t.Error("the report counts in the next era")
+	}
+}
+
 func decodeAgain(t *testing.T, table *Table) *Table {
 	t.Helper()
 	data, err := table.Encode()
--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -77,6 +77,8 @@
 	// EraFence is the highest fencing token issued before the era (see BeginEra); zero once the table is
 	// settled.
 	EraFence int64
+	// Reported lists the nodes that have reported what they knew when the era began (see Report).
+	Reported []string
 }
 
 // maxGone is the largest number of entries in Table.Gone.
@@ -99,6 +101,7 @@
 	c := *t
 	c.Owners = append([]Owner(nil), t.Owners...)
 	c.Gone = append([]Owner(nil), t.Gone...)
+	c.Reported = append([]string(nil), t.Reported...)
 	return &c
 }
 
@@ -164,7 +167,8 @@
 	Runs    []run   `json:"runs"`
 	Era     int64   `json:"era,omitempty"`
 	// EraFence is that of Table.
-	EraFence int64 `json:"era_fence,omitempty"`
+	EraFence int64    `json:"era_fence,omitempty"`
+	Reported []string `json:"reported,omitempty"`
 }
 
 // run is a number of consecutive slices in the same state.
@@ -180,7 +184,7 @@
 // which changes the indexes into Owners.
 func (t *Table) Encode() ([]byte, error) {
 	t.compact()
-	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners, Gone: t.Gone, Era: t.Era, EraFence: t.EraFence}
+	r := record{Service: t.Service, Fence: t.Fence, Owners: t.Owners, Gone: t.Gone, Era: t.Era, EraFence: t.EraFence, Reported: t.Reported}
 	for i, s := range t.Slices {
 		if i > 0 && s == t.Slices[i-1] {
 			r.Runs[len(r.Runs)-1].Count++
@@ -227,7 +231,7 @@
 	if err := json.Unmarshal(encoded, &r); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "decode table of slices"), ErrTable)
 	}
-	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners, Gone: r.Gone, Era: r.Era, EraFence: r.EraFence}
+	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners, Gone: r.Gone, Era: r.Era, EraFence: r.EraFence, Reported: r.Reported}
 	at := 0
 	for _, run := range r.Runs {
 		bad := run.Count < 1 || at+run.Count > SliceCount || run.Owner < -1 || run.Owner >= len(r.Owners) ||
--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -116,6 +116,11 @@
 	if err != nil {
 		o.cfg.Log.Warn("table not written", "service", service, "expected", change.expected,
 			"reasons", strings.Join(change.reasons, ","), "cause", err.Error())
+		if errors.Is(err, objects.ErrUnknownOutcome) {
+			o.mu.Lock()
+			o.dropReleased(change.table)
+			o.mu.Unlock()
+		}
 		o.rereadTable(ctx, service)
 		return
 	}
--- a/node/ownership/restore.go
+++ b/node/ownership/restore.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/holding"
@@ -16,7 +17,10 @@
 //   - From then on until the table is settled, a slice is certain only for the owner that held it without a
 //     break since before the era (its claim), or that got it in this era from a certain owner. No slice is
 //     taken from an owner and none without an owner is assigned.
-//   - A claim that the table contradicts is written into it.
+//   - Each node of the service that had a proved lease when the era began reports the table that it knew:
+//     slices with later tokens, and its claims, are written into the present one.
+//   - The write that gave a moving slice to its next owner may have taken effect and be lost. So its owner
+//     is certain only once the next owner's node has reported and the table still names the former.
 //   - The table is settled once a node has known of the era for so long that no lease from before it can be
 //     valid. Such a lease ends with its last possible extension.
 //   - A lease must be proved again in each era, since the write that proved it may be lost.
@@ -28,6 +32,17 @@
 	// owner has held the slices in claims without a break, in the given states.
 	owner  holding.Owner
 	claims map[int]holding.Slice
+	// moving holds the slices of owner that were being moved, whether or not it has released them.
+	moving map[int]movingClaim
+	// known is the table as known at that time, if this node had a target of the service and its lease was
+	// valid and proved; nil otherwise.
+	known *holding.Table
+}
+
+// movingClaim is a slice in the given state that was being moved to the target of another node.
+type movingClaim struct {
+	state holding.Slice
+	next  string
 }
 
 // isCurrent reports whether the table was written in the store's era.
@@ -42,7 +57,6 @@
 	if o.hasReadStore {
 		o.eraBeganAt = now
 	}
-	o.era = era
 	for service, r := range o.restored {
 		if o.tables[service] == nil {
 			r.seenAt = now
@@ -51,6 +65,7 @@
 	for service := range o.tables {
 		o.recordClaims(service, now)
 	}
+	o.era = era
 	o.lease.Unprove()
 }
 
@@ -60,29 +75,44 @@
 // recordClaims records the slices that the local target holds at the time when certainty about the
 // service's table is lost. The caller holds the lock.
 func (o *Ownership) recordClaims(service string, now time.Duration) {
-	r := &restoredTable{seenAt: now, claims: make(map[int]holding.Slice)}
 	before := o.restored[service]
-	o.restored[service] = r
+	r := &restoredTable{seenAt: now, claims: make(map[int]holding.Slice), moving: make(map[int]movingClaim)}
+	defer func() { o.restored[service] = r }()
+	t := o.tables[service]
+	unbroken := t != nil && o.lease.Proved() && o.lease.Valid(now)
 	process := o.target
-	if process == nil || process.report.Service != service || process.grantsLapsed(now) {
+	if process == nil || process.report.Service != service {
+		return
+	}
+	if unbroken {
+		r.known = t.Table
+	}
+	if process.grantsLapsed(now) {
 		return
 	}
 	r.owner = process.owner(o.cfg.Self.Name)
 	if !o.lease.Proved() && before != nil && before.owner == r.owner {
 		// The lease was not proved since the last loss, so only the claims from before it stand.
-		r.claims = before.claims
+		r.claims, r.moving = before.claims, before.moving
 		return
 	}
-	t := o.tables[service]
-	if t == nil || !o.lease.Proved() || !o.lease.Valid(now) || process.lastResponse == 0 {
+	if !unbroken || process.lastResponse == 0 {
 		return
 	}
 	for i, s := range t.Slices {
-		if owner, ok := t.OwnerOf(i); ok && owner == r.owner && process.lastGranted[i] == process.lastResponse {
+		owner, ok := t.OwnerOf(i)
+		if !ok || owner != r.owner {
+			continue
+		}
+		next, moves := t.NextOf(i)
+		switch {
+		case process.lastGranted[i] == process.lastResponse:
 			r.claims[i] = s
+		case moves && o.isCertain(service, owner, i):
+			r.moving[i] = movingClaim{s, next.Node}
 		}
 	}
-	o.cfg.Log.Info("slices claimed", "service", service, "slices", len(r.claims))
+	o.cfg.Log.Info("slices claimed", "service", service, "slices", len(r.claims), "moving", len(r.moving))
 }
 
 // mergeRestored returns the table to keep when latest is read after known, which may be nil. The caller
@@ -95,7 +125,8 @@
 		return latest
 	}
 	if latest.isCurrent() {
-		if latest.EraFence > known.EraFence && latest.version.Era() == known.version.Era() {
+		takenUpAgain := known.isCurrent() && known.Era == latest.Era && latest.EraFence > known.EraFence
+		if takenUpAgain {
 			o.recordClaims(latest.Service, now)
 		}
 		return latest
@@ -121,17 +152,30 @@
 		delete(o.restored, service)
 		return
 	}
-	for slice := range r.claims {
-		if t.AssignedInEra(slice) {
-			delete(r.claims, slice)
-		}
+	inEra := func(slice int) bool { return t.AssignedInEra(slice) }
+	maps.DeleteFunc(r.claims, func(slice int, _ holding.Slice) bool { return inEra(slice) })
+	maps.DeleteFunc(r.moving, func(slice int, _ movingClaim) bool { return inEra(slice) })
+}
+
+// dropReleased drops the claims on slices that a table, whose write is in doubt, gives to others. The caller
+// holds the lock.
+func (o *Ownership) dropReleased(t *holding.Table) {
+	r := o.restored[t.Service]
+	if r == nil {
+		return
+	}
+	isReleased := func(slice int) bool {
+		owner, ok := t.OwnerOf(slice)
+		return !ok || owner != r.owner
 	}
+	maps.DeleteFunc(r.claims, func(slice int, _ holding.Slice) bool { return isReleased(slice) })
+	maps.DeleteFunc(r.moving, func(slice int, _ movingClaim) bool { return isReleased(slice) })
 }
 
 // dropClaims drops all claims, since the lease is lost. The caller holds the lock.
 func (o *Ownership) dropClaims() {
 	for _, r := range o.restored {
-		r.claims = nil
+		r.claims, r.moving = nil, nil
 	}
 }
 
@@ -169,8 +213,12 @@
 		return false
 	}
 	// A table that was read before a claim is written may name an earlier token of the owner.
-	state, claimed := r.claims[slice]
-	return claimed && t.Slices[slice].Fence == state.Fence
+	fence := t.Slices[slice].Fence
+	if state, claimed := r.claims[slice]; claimed {
+		return fence == state.Fence
+	}
+	moving, claimed := r.moving[slice]
+	return claimed && fence == moving.state.Fence && t.isCurrent() && t.HasReported(moving.next)
 }
 
 // planEra plans to take up the known table in the store's era.
@@ -185,6 +233,9 @@
 	}
 	change.table.BeginEra(change.expected.Era())
 	change.addReason(true, "store restored")
+	if r.known != nil {
+		change.table.Report(o.cfg.Self.Name, r.known)
+	}
 	o.reclaim(change.table, r)
 }
 
@@ -195,6 +246,9 @@
 	if change.table.IsSettled() || r == nil {
 		return
 	}
+	if r.known != nil {
+		change.addReason(change.table.Report(o.cfg.Self.Name, r.known), "reported")
+	}
 	change.addReason(o.reclaim(change.table, r), "claimed")
 	settleAfter := holding.AddDrift(o.cfg.Timing.ExtendLimit) + time.Duration(o.rank(now))*o.cfg.Timing.RankDelay
 	if now-r.seenAt >= settleAfter {
