--- a/standin/sidecar/restore_test.go
+++ b/standin/sidecar/restore_test.go
@@ -17,6 +17,8 @@
 	lostTime = 6 * time.Second
 	// absence is how long a store is away before it returns from a copy.
 	absence = 2 * time.Second
+	// servedAgainLimit is the time within which keys of a lost node are served again while the store answers.
+	servedAgainLimit = 3 * time.Second
 )
 
 // restoreStore makes the store unavailable for a time and then returns it to the copy.
@@ -105,3 +107,14 @@
 	s.awaitServed(5*time.Second, s.nodes...)
 	s.reportViolations()
 }
+
+func TestKeysOfARestartedNodeAreServedAfterARestoredStore(t *testing.T) {
+	s := newDeployment(t, "k", "k", "k")
+	s.awaitServed(15*time.Second, s.nodes...)
+	older := s.store.Memory().Copy()
+	time.Sleep(lostTime)
+	s.store.Memory().SetFaults(memstore.Faults{Down: true})
+	s.nodes[0].restart(t)
+	s.restoreStore(older, absence)
+	s.awaitServed(servedAgainLimit, s.nodes...)
+}
