--- a/node/ownership/restore.go
+++ b/node/ownership/restore.go
@@ -77,6 +77,7 @@
 func (o *Ownership) recordClaims(service string, now time.Duration) {
 	before := o.restored[service]
 	r := &restoredTable{seenAt: now, claims: make(map[int]holding.Slice), moving: make(map[int]movingClaim)}
+	// The former record is needed until the end, by isCertain.
 	defer func() { o.restored[service] = r }()
 	t := o.tables[service]
 	unbroken := t != nil && o.lease.Proved() && o.lease.Valid(now)
