--- a/standin/sidecar/restore_test.go
+++ b/standin/sidecar/restore_test.go
@@ -21,11 +21,11 @@
 	servedAgainLimit = 3 * time.Second
 )
 
-// restoreStore makes the store unavailable for a time and then returns it to the copy.
-func (s *deployment) restoreStore(c memstore.Copy, away time.Duration) {
+// restoreStore makes the store unavailable for the time of absence and then returns it to the copy.
+func (s *deployment) restoreStore(c memstore.Copy) {
 	memory := s.store.Memory()
 	memory.SetFaults(memstore.Faults{Down: true})
-	time.Sleep(away)
+	time.Sleep(absence)
 	memory.Restore(c)
 	memory.SetFaults(memstore.Faults{})
 }
@@ -46,7 +46,7 @@
 	older := s.store.Memory().Copy()
 	s.putConfig(2, routeConfig(2))
 	time.Sleep(lostTime)
-	s.restoreStore(older, absence)
+	s.restoreStore(older)
 	s.putConfig(2, routeConfig(2))
 	time.Sleep(500 * time.Millisecond)
 	s.putConfig(3, routeConfig(3))
@@ -66,7 +66,7 @@
 	s.awaitServed(15*time.Second, s.nodes...)
 	older := s.store.Memory().Copy()
 	time.Sleep(lostTime)
-	s.restoreStore(older, absence)
+	s.restoreStore(older)
 	var served, asked atomic.Int64
 	var group sync.WaitGroup
 	for began := time.Now(); time.Since(began) < lostTime; time.Sleep(10 * time.Millisecond) {
@@ -100,7 +100,7 @@
 	if held == 0 {
 		t.Fatal("the target that joined holds no keys")
 	}
-	s.restoreStore(older, absence)
+	s.restoreStore(older)
 	stop := s.sendSteadily("/look/x", 7, 50*time.Millisecond, s.nodes...)
 	time.Sleep(20 * time.Second)
 	stop()
@@ -115,6 +115,6 @@
 	time.Sleep(lostTime)
 	s.store.Memory().SetFaults(memstore.Faults{Down: true})
 	s.nodes[0].restart(t)
-	s.restoreStore(older, absence)
+	s.restoreStore(older)
 	s.awaitServed(servedAgainLimit, s.nodes...)
 }
