core/holding: plan over indexes instead of comparing owners

Callers at 76 and 195 VMs wait for nodes that lack processor time: half of it went into plans that compare the owner of each of 1024 slices with each target. Owners and candidates are now matched once; NeedsChange copies the table only if a move is possible.

--- a/core/holding/balance.go
+++ b/core/holding/balance.go
@@ -34,56 +34,125 @@
 	maxCapacityRatio = 3
 )
 
-// loadModel holds the loads of the targets that are not leaving while moves are planned.
+// loadModel holds the loads of the targets that are not leaving while moves are planned. Owners and
+// candidates are compared once when it is built; after that, they are referred to by index.
 type loadModel struct {
+	// targets are the candidates that may receive slices.
 	targets  []Candidate
 	capacity []float64
 	load     []float64
+	// targetOf holds the index into targets of each of the table's owners; negative for an owner that may
+	// not receive slices.
+	targetOf []int
+	// ownerOf holds the index into Table.Owners of each target; negative for one without slices.
+	ownerOf []int
+	// leaving marks the table's owners whose slices are to be moved away.
+	leaving []bool
 	// rates are the requests per second of each slice.
 	rates [SliceCount]float64
 	// mean is the load per unit of relative capacity over all targets.
 	mean float64
 	// meanSliceRate is the mean rate of a slice.
 	meanSliceRate float64
+	// totalCapacity is the sum of capacity.
+	totalCapacity float64
 }
 
 // newLoadModel computes the loads of the targets. A slice that is being moved counts for its next
 // owner.
 func (t *Table) newLoadModel(candidates []Candidate) *loadModel {
-	m := &loadModel{}
-	for _, c := range candidates {
+	m := &loadModel{targetOf: make([]int, len(t.Owners)), leaving: make([]bool, len(t.Owners))}
+	candidateOf := t.candidatesByOwner(candidates)
+	targetOfCandidate := make([]int, len(candidates))
+	for i, c := range candidates {
+		targetOfCandidate[i] = -1
 		if !c.Leaving && !t.isGone(c.Owner) {
+			targetOfCandidate[i] = len(m.targets)
 			m.targets = append(m.targets, c)
 		}
 	}
-	m.capacity, m.load = capacities(m.targets), make([]float64, len(m.targets))
-	t.estimateRates(m, candidates)
-	total, totalCapacity := 0.0, 0.0
-	for i, s := range t.Slices {
-		total += m.rates[i]
-		owner := s.Owner
-		if s.Next >= 0 {
-			owner = s.Next
-		}
-		if owner < 0 {
+	m.ownerOf = make([]int, len(m.targets))
+	for i := range m.ownerOf {
+		m.ownerOf[i] = -1
+	}
+	for owner, c := range candidateOf {
+		m.targetOf[owner] = -1
+		if c < 0 {
 			continue
 		}
-		for j, c := range m.targets {
-			if c.Owner == t.Owners[owner] {
-				m.load[j] += m.rates[i]
-			}
+		m.leaving[owner] = candidates[c].Leaving
+		if target := targetOfCandidate[c]; target >= 0 {
+			m.targetOf[owner], m.ownerOf[target] = target, owner
+		}
+	}
+	m.capacity, m.load = capacities(m.targets), make([]float64, len(m.targets))
+	t.estimateRates(m, candidates, candidateOf)
+	total := 0.0
+	for i := range t.Slices {
+		total += m.rates[i]
+		if target := m.targetOfOwner(t.Slices[i].finalOwner()); target >= 0 {
+			m.load[target] += m.rates[i]
 		}
 	}
 	for _, c := range m.capacity {
-		totalCapacity += c
+		m.totalCapacity += c
 	}
 	m.meanSliceRate = total / SliceCount
-	if totalCapacity > 0 {
-		m.mean = total / totalCapacity
+	if m.totalCapacity > 0 {
+		m.mean = total / m.totalCapacity
 	}
 	return m
 }
 
+// candidatesByOwner returns the index of the candidate that is each of the table's owners; negative for an
+// owner that is not a candidate.
+func (t *Table) candidatesByOwner(candidates []Candidate) []int {
+	index := make(map[Owner]int, len(candidates))
+	for i, c := range candidates {
+		index[c.Owner] = i
+	}
+	found := make([]int, len(t.Owners))
+	for i, owner := range t.Owners {
+		found[i] = -1
+		if c, ok := index[owner]; ok {
+			found[i] = c
+		}
+	}
+	return found
+}
+
+// finalOwner returns the index of the owner that the slice has once it has been moved; negative if it has
+// none.
+func (s *Slice) finalOwner() int {
+	if s.Next >= 0 {
+		return s.Next
+	}
+	return s.Owner
+}
+
+// targetOfOwner returns the index of a target by its index into Table.Owners; negative if the owner may not
+// receive slices or there is none.
+func (m *loadModel) targetOfOwner(owner int) int {
+	if owner < 0 || owner >= len(m.targetOf) {
+		return -1
+	}
+	return m.targetOf[owner]
+}
+
+// isLeaving reports whether the slices of an owner, given by its index into Table.Owners, are to be moved
+// away.
+func (m *loadModel) isLeaving(owner int) bool { return owner < len(m.leaving) && m.leaving[owner] }
+
+// ensureOwner returns the index into Table.Owners of a target, which is added to them if it is missing.
+func (m *loadModel) ensureOwner(t *Table, target int) int {
+	if m.ownerOf[target] < 0 {
+		m.ownerOf[target] = len(t.Owners)
+		t.Owners = append(t.Owners, m.targets[target].Owner)
+		m.targetOf, m.leaving = append(m.targetOf, target), append(m.leaving, false)
+	}
+	return m.ownerOf[target]
+}
+
 // capacities returns the targets' capacities relative to their mean; a target whose capacity is
 // unknown counts as the mean.
 func capacities(targets []Candidate) []float64 {
@@ -105,31 +174,43 @@
 }
 
 // estimateRates sets the rates of the slices. Hot slices have the rate that their owner measured;
-// the rest of an owner's rate is spread evenly over its other slices.
-func (t *Table) estimateRates(m *loadModel, candidates []Candidate) {
-	for i := range m.rates {
-		m.rates[i] = baseSliceRate
+// the rest of an owner's rate is spread evenly over its other slices. candidateOf holds the candidates by
+// owner.
+func (t *Table) estimateRates(m *loadModel, candidates []Candidate, candidateOf []int) {
+	remaining, others := make([]float64, len(candidates)), make([]int, len(candidates))
+	for i, c := range candidates {
+		remaining[i] = c.Rate
 	}
-	for _, c := range candidates {
-		var others []int
-		remaining := c.Rate
-		for i, s := range t.Slices {
-			if s.Owner < 0 || t.Owners[s.Owner] != c.Owner {
-				continue
-			}
-			if hot := c.Hot[i]; hot > 0 {
-				m.rates[i] += hot
-				remaining -= hot
-			} else {
-				others = append(others, i)
-			}
+	var hot [SliceCount]bool
+	for i := range t.Slices {
+		m.rates[i] = baseSliceRate
+		c := t.candidateOfSlice(i, candidateOf)
+		if c < 0 {
+			continue
+		}
+		if rate := candidates[c].Hot[i]; rate > 0 {
+			m.rates[i] += rate
+			remaining[c] -= rate
+			hot[i] = true
+		} else {
+			others[c]++
 		}
-		for _, i := range others {
-			m.rates[i] += max(0, remaining) / float64(len(others))
+	}
+	for i := range t.Slices {
+		if c := t.candidateOfSlice(i, candidateOf); c >= 0 && !hot[i] {
+			m.rates[i] += max(0, remaining[c]) / float64(others[c])
 		}
 	}
 }
 
+// candidateOfSlice returns the index of the candidate that owns a slice; negative if there is none.
+func (t *Table) candidateOfSlice(slice int, candidateOf []int) int {
+	if owner := t.Slices[slice].Owner; owner >= 0 {
+		return candidateOf[owner]
+	}
+	return -1
+}
+
 func (m *loadModel) rate(slice int) float64 { return m.rates[slice] }
 
 func (m *loadModel) add(target int, rate float64) { m.load[target] += rate }
@@ -173,11 +254,7 @@
 // fairShare returns the number of slices that a target would have if all slices were distributed in
 // proportion to capacity.
 func (m *loadModel) fairShare(target int) float64 {
-	sum := 0.0
-	for _, c := range m.capacity {
-		sum += c
-	}
-	return SliceCount * m.capacity[target] / sum
+	return SliceCount * m.capacity[target] / m.totalCapacity
 }
 
 // hasSpareCapacity reports whether a target's load is low enough to move slices to it only because
@@ -199,17 +276,13 @@
 	return best
 }
 
-// sliceCount returns the number of slices that an owner has once all moves are done.
-func (t *Table) sliceCount(o Owner) int {
-	n := 0
-	for _, s := range t.Slices {
-		owner := s.Owner
-		if s.Next >= 0 {
-			owner = s.Next
-		}
-		if owner >= 0 && t.Owners[owner] == o {
-			n++
+// sliceCounts returns the number of slices that each target has once all moves are done.
+func (t *Table) sliceCounts(m *loadModel) []int {
+	counts := make([]int, len(m.targets))
+	for i := range t.Slices {
+		if target := m.targetOfOwner(t.Slices[i].finalOwner()); target >= 0 {
+			counts[target]++
 		}
 	}
-	return n
+	return counts
 }
--- a/core/holding/grants.go
+++ b/core/holding/grants.go
@@ -1,5 +1,7 @@
 package holding
 
+import "slices"
+
 // Report is the state that a target reports in one heartbeat.
 type Report struct {
 	ID string
@@ -100,38 +102,46 @@
 	return append(grants, g)
 }
 
-// fitsResponse reports whether all grants of an owner fit into one response once its target has
-// received their handover tokens, which are then no longer sent.
-func (t *Table) fitsResponse(owner Owner, limit ResponseLimit) bool {
-	var grants []Grant
-	for i, s := range t.Slices {
-		if s.Owner >= 0 && t.Owners[s.Owner] == owner {
-			grants = appendMerged(grants, Grant{From: i * SliceKeys, To: (i+1)*SliceKeys - 1, Fence: s.Fence})
+// exceedResponse returns, by index into Owners, whether the grants of an owner do not fit into one response
+// even once its target has received their handover tokens, which are then no longer sent. Owners that are
+// not a candidate are left out; candidateOf holds the candidates by owner.
+func (t *Table) exceedResponse(candidateOf []int, limit ResponseLimit) []bool {
+	last, bytes := make([]Grant, len(t.Owners)), make([]int, len(t.Owners))
+	for i := range t.Slices {
+		s := &t.Slices[i]
+		if s.Owner < 0 || candidateOf[s.Owner] < 0 {
+			continue
+		}
+		g := &last[s.Owner]
+		if g.To > 0 && g.To+1 == i*SliceKeys && g.Fence == s.Fence {
+			g.To = (i+1)*SliceKeys - 1
+			continue
+		}
+		if g.To > 0 {
+			bytes[s.Owner] += limit.GrantBytes(*g)
 		}
+		*g = Grant{From: i * SliceKeys, To: (i+1)*SliceKeys - 1, Fence: s.Fence}
 	}
-	remaining := limit.Bytes
-	for _, g := range grants {
-		remaining -= limit.GrantBytes(g)
+	exceed := make([]bool, len(t.Owners))
+	for owner, g := range last {
+		if g.To > 0 {
+			exceed[owner] = bytes[owner]+limit.GrantBytes(g) > limit.Bytes
+		}
 	}
-	return remaining >= 0
+	return exceed
 }
 
 // MergeGrants gives all slices of an owner whose grants do not fit into one response the same new
 // fencing token and drops their handover tokens, so that adjacent slices merge into one grant. It
 // reports whether anything changed.
 func (t *Table) MergeGrants(candidates []Candidate, limit ResponseLimit) bool {
-	changed := false
-	for _, c := range candidates {
-		if t.fitsResponse(c.Owner, limit) {
-			continue
-		}
-		for i := range t.Slices {
-			if s := &t.Slices[i]; s.Owner >= 0 && t.Owners[s.Owner] == c.Owner {
-				s.Fence, s.Handover = t.Fence+1, ""
-			}
+	exceed := t.exceedResponse(t.candidatesByOwner(candidates), limit)
+	for i := range t.Slices {
+		if s := &t.Slices[i]; s.Owner >= 0 && exceed[s.Owner] {
+			s.Fence, s.Handover = t.Fence+1, ""
 		}
-		changed = true
 	}
+	changed := slices.Contains(exceed, true)
 	t.advanceFence(changed)
 	return changed
 }
--- a/core/holding/plan.go
+++ b/core/holding/plan.go
@@ -128,7 +128,7 @@
 			return false
 		}
 		to = t.preferAdjacent(m, i, to)
-		t.assignTo(&t.Slices[i], t.ensureOwner(m.targets[to].Owner), "")
+		t.assignTo(&t.Slices[i], m.ensureOwner(t, to), "")
 		m.add(to, m.rate(i))
 		changed = true
 	}
@@ -142,10 +142,9 @@
 	if len(m.targets) > maxMergingTargets || i == 0 || t.Slices[i-1].Owner < 0 {
 		return leastLoaded
 	}
-	for j, c := range m.targets {
-		if c.Owner == t.Owners[t.Slices[i-1].Owner] && m.loadWith(j, 0) <= m.loadWith(leastLoaded, 0)+slackSlices*m.meanSliceRate {
-			return j
-		}
+	before := m.targetOfOwner(t.Slices[i-1].Owner)
+	if before >= 0 && m.loadWith(before, 0) <= m.loadWith(leastLoaded, 0)+slackSlices*m.meanSliceRate {
+		return before
 	}
 	return leastLoaded
 }
@@ -157,11 +156,11 @@
 	changed := false
 	for i := range t.Slices {
 		s := &t.Slices[i]
-		if s.Owner < 0 || s.Next >= 0 || !isLeaving(t.Owners[s.Owner], candidates) {
+		if s.Owner < 0 || s.Next >= 0 || !m.isLeaving(s.Owner) {
 			continue
 		}
 		if to := m.leastLoaded(-1, m.rate(i)); to >= 0 {
-			s.Next = t.ensureOwner(m.targets[to].Owner)
+			s.Next = m.ensureOwner(t, to)
 			m.add(to, m.rate(i))
 			changed = true
 		}
@@ -179,8 +178,9 @@
 	m := t.newLoadModel(candidates)
 	changed := false
 	left := joinBatch
+	counts := t.sliceCounts(m)
 	for to := range m.targets {
-		filled := t.fillTarget(m, to, left)
+		filled := t.fillTarget(m, to, counts, left)
 		left -= filled
 		changed = changed || filled > 0
 	}
@@ -193,23 +193,26 @@
 }
 
 // fillTarget plans moves of up to limit slices from the most loaded targets to a target that has
-// too few, and returns their number.
-func (t *Table) fillTarget(m *loadModel, to, limit int) int {
+// too few, and returns their number. It keeps counts, the number of slices of each target once all moves are
+// done.
+func (t *Table) fillTarget(m *loadModel, to int, counts []int, limit int) int {
 	if !m.hasSpareCapacity(to) {
 		return 0
 	}
-	shortfall := int(joinFraction*m.fairShare(to)) - t.sliceCount(m.targets[to].Owner)
+	shortfall := int(joinFraction*m.fairShare(to)) - counts[to]
 	filled := 0
 	for filled < min(shortfall, limit) {
 		from := m.mostLoaded(to)
 		slice := -1
 		if from >= 0 {
-			slice = t.pickSlice(m.targets[from].Owner, filled)
+			slice = t.pickSlice(m.ownerOf[from], filled)
 		}
 		if slice < 0 {
 			break
 		}
-		t.Slices[slice].Next = t.ensureOwner(m.targets[to].Owner)
+		t.Slices[slice].Next = m.ensureOwner(t, to)
+		counts[from]--
+		counts[to]++
 		m.add(from, -m.rate(slice))
 		m.add(to, m.rate(slice))
 		filled++
@@ -217,14 +220,17 @@
 	return filled
 }
 
-// pickSlice returns a slice of the owner that is not being moved; negative if it has none. The
-// search starts at a different place for each n, which spreads the chosen slices over the key
+// pickSlice returns a slice of the owner with the given index that is not being moved; negative if it has
+// none. The search starts at a different place for each n, which spreads the chosen slices over the key
 // space.
-func (t *Table) pickSlice(owner Owner, n int) int {
+func (t *Table) pickSlice(owner, n int) int {
+	if owner < 0 {
+		return -1
+	}
 	start := n * (SliceCount/joinBatch + 1)
 	for k := range SliceCount {
 		i := (start + k) % SliceCount
-		if s := t.Slices[i]; s.Owner >= 0 && s.Next < 0 && t.Owners[s.Owner] == owner {
+		if s := &t.Slices[i]; s.Owner == owner && s.Next < 0 {
 			return i
 		}
 	}
@@ -244,7 +250,7 @@
 		if to < 0 || m.loadWith(to, m.rate(i)) >= m.loadWith(from, 0) {
 			continue
 		}
-		t.Slices[i].Next = t.ensureOwner(m.targets[to].Owner)
+		t.Slices[i].Next = m.ensureOwner(t, to)
 		m.add(from, -m.rate(i))
 		m.add(to, m.rate(i))
 		changed = true
@@ -254,9 +260,13 @@
 
 // slicesByRate returns the slices of a target that are not being moved, highest rate first.
 func (t *Table) slicesByRate(m *loadModel, from int) []int {
+	owner := m.ownerOf[from]
+	if owner < 0 {
+		return nil
+	}
 	var indexes []int
-	for i, s := range t.Slices {
-		if s.Owner >= 0 && s.Next < 0 && t.Owners[s.Owner] == m.targets[from].Owner {
+	for i := range t.Slices {
+		if s := &t.Slices[i]; s.Owner == owner && s.Next < 0 {
 			indexes = append(indexes, i)
 		}
 	}
@@ -266,8 +276,8 @@
 
 // IsMoving reports whether any slice is being moved to a next owner.
 func (t *Table) IsMoving() bool {
-	for _, s := range t.Slices {
-		if s.Next >= 0 {
+	for i := range t.Slices {
+		if t.Slices[i].Next >= 0 {
 			return true
 		}
 	}
@@ -280,17 +290,31 @@
 // While the table is not settled, only Evacuate and Move count: both leave the change of the owner to the
 // present one.
 func (t *Table) NeedsChange(candidates []Candidate, limit ResponseLimit, settled bool) bool {
-	c := t.Clone()
-	if !t.IsSettled() {
-		return c.Evacuate(candidates) || c.Move(candidates, settled)
+	m := t.newLoadModel(candidates)
+	canAssign := t.IsSettled() && len(m.targets) > 0
+	moving := false
+	for i := range t.Slices {
+		s := &t.Slices[i]
+		if s.Owner < 0 && canAssign {
+			return true
+		}
+		if s.Owner >= 0 && s.Next < 0 && m.isLeaving(s.Owner) && len(m.targets) > 0 {
+			return true
+		}
+		moving = moving || s.Next >= 0
+	}
+	if !moving && t.mayMove(m, settled) && t.Clone().Move(candidates, settled) {
+		return true
 	}
-	return c.Assign(candidates) || c.Evacuate(candidates) || c.Move(candidates, settled) || c.MergeGrants(candidates, limit)
+	return t.IsSettled() && slices.Contains(t.exceedResponse(t.candidatesByOwner(candidates), limit), true)
 }
 
-func isLeaving(o Owner, candidates []Candidate) bool {
-	for _, c := range candidates {
-		if c.Owner == o {
-			return c.Leaving
+// mayMove reports whether Move may plan anything. It is cheaper than Move, which needs a copy of the table.
+func (t *Table) mayMove(m *loadModel, settled bool) bool {
+	counts := t.sliceCounts(m)
+	for i := range m.targets {
+		if m.hasSpareCapacity(i) && counts[i] < int(joinFraction*m.fairShare(i)) || settled && m.isOverloaded(i) {
+			return true
 		}
 	}
 	return false
