node/ownership: nodes of lower rank check less often whether a table needs a change

Callers at 195 VMs waited for nodes without processor time. Cause: each of n nodes planned for n targets at a rate that grows with n. Each node already leaves a needed change to those before it for 0.4 s for each of them; now it also repeats its check only in half that time. Lost owners are still looked for at every wake-up, so that their slices are freed as early as before; the first node checks as before and the second every 0.2 s.

--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -123,6 +123,25 @@
 	return t.Owners[s.Next], true
 }
 
+// OwnersInUse returns the owners and next owners of all slices.
+func (t *Table) OwnersInUse() []Owner {
+	used := make([]bool, len(t.Owners))
+	for i := range t.Slices {
+		for _, owner := range []int{t.Slices[i].Owner, t.Slices[i].Next} {
+			if owner >= 0 {
+				used[owner] = true
+			}
+		}
+	}
+	var owners []Owner
+	for i, owner := range t.Owners {
+		if used[i] {
+			owners = append(owners, owner)
+		}
+	}
+	return owners
+}
+
 // ensureOwner returns the index of an owner in Owners, appending it if it is missing.
 func (t *Table) ensureOwner(o Owner) int {
 	for i, known := range t.Owners {
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -18,8 +18,8 @@
 // of entries and tables. Owners and takers then know different tables for a while; see restore.go.
 //
 // Any node may plan changes to a table: the live node whose name sorts first acts at once, the
-// others after a delay that grows with their rank. If two act concurrently, the conditional writes
-// let only one succeed.
+// others after a delay that grows with their rank, and they check less often whether a change is needed.
+// If two act concurrently, the conditional writes let only one succeed.
 //
 // Lock order: Ownership.mu before the locks of TargetMonitor. No store call is made while it is
 // held.
@@ -154,6 +154,8 @@
 	// planNeededSince is when a table was first seen to need a change that any node may make, by
 	// service.
 	planNeededSince map[string]time.Duration
+	// planChecks holds the last checks whether a table needs such a change, by service.
+	planChecks map[string]planCheck
 	// movingSeenAt is when slices of a service were last seen moving, by service.
 	movingSeenAt map[string]time.Duration
 	stopping     bool
@@ -198,6 +200,7 @@
 		peers:                make(map[string]*peer),
 		tables:               make(map[string]*table),
 		planNeededSince:      make(map[string]time.Duration),
+		planChecks:           make(map[string]planCheck),
 		movingSeenAt:         make(map[string]time.Duration),
 		started:              cfg.Clock(),
 	}
--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -265,12 +265,12 @@
 	if change.table.IsSettled() {
 		lost = o.lostOwners(change.table, now)
 	}
-	candidates := o.candidates(service, now)
 	if change.table.IsMoving() {
 		o.movingSeenAt[service] = now
 	}
 	settled := now-o.movingSeenAt[service] >= o.cfg.Timing.SettleTime
-	if len(lost) == 0 && !change.table.NeedsChange(candidates, o.cfg.ResponseLimit, settled) {
+	rank := o.rank(now)
+	if len(lost) == 0 && !o.needsChange(change.table, service, settled, rank, now) {
 		delete(o.planNeededSince, service)
 		return
 	}
@@ -279,7 +279,8 @@
 		since = now
 		o.planNeededSince[service] = now
 	}
-	if now-since < o.planDelay(change, candidates, now) {
+	candidates := o.candidates(service, now)
+	if now-since < o.planDelay(change, candidates, rank) {
 		return
 	}
 	for owner, p := range lost {
@@ -298,10 +299,29 @@
 	}
 }
 
-// planDelay returns how long this node leaves a needed change to the live nodes whose names sort
-// before its own. The first assignment of a service also waits for further targets.
-func (o *Ownership) planDelay(change *tableChange, candidates []holding.Candidate, now time.Duration) time.Duration {
-	delay := time.Duration(o.rank(now)) * o.cfg.Timing.RankDelay
+// planCheck is the result of a check whether a table needs a change that any node may make.
+type planCheck struct {
+	at     time.Duration
+	needed bool
+}
+
+// needsChange reports whether slices of a table are to be assigned or moved. The first node checks the present
+// state; each other one repeats its check only in half the time for which it leaves the change to the nodes
+// before it. Otherwise the work of all nodes together would grow with the square of their number.
+func (o *Ownership) needsChange(t *holding.Table, service string, settled bool, rank int, now time.Duration) bool {
+	last, checked := o.planChecks[service]
+	if checked && now-last.at < time.Duration(rank)*o.cfg.Timing.RankDelay/2 {
+		return last.needed
+	}
+	needed := t.NeedsChange(o.candidates(service, now), o.cfg.ResponseLimit, settled)
+	o.planChecks[service] = planCheck{now, needed}
+	return needed
+}
+
+// planDelay returns how long the node of the given rank leaves a needed change to the live nodes whose names
+// sort before its own. The first assignment of a service also waits for further targets.
+func (o *Ownership) planDelay(change *tableChange, candidates []holding.Candidate, rank int) time.Duration {
+	delay := time.Duration(rank) * o.cfg.Timing.RankDelay
 	if change.isNew && len(candidates) > 0 {
 		delay += o.cfg.Timing.InitialAssignDelay
 	}
@@ -312,8 +332,9 @@
 // node's.
 func (o *Ownership) rank(now time.Duration) int {
 	before := 0
+	knownAt := o.entriesKnownAt(now)
 	for name, p := range o.peers {
-		if name < o.cfg.Self.Name && p.isLive(o.entriesKnownAt(now)) && !p.entry.Stopping {
+		if name < o.cfg.Self.Name && p.isLive(knownAt) && !p.entry.Stopping {
 			before++
 		}
 	}
@@ -325,20 +346,18 @@
 // than a lease.
 func (o *Ownership) lostOwners(t *holding.Table, now time.Duration) map[holding.Owner]*peer {
 	lost := make(map[holding.Owner]*peer)
-	for i := range t.Slices {
-		for _, find := range []func(int) (holding.Owner, bool){t.OwnerOf, t.NextOf} {
-			owner, ok := find(i)
-			if !ok || owner.Node == o.cfg.Self.Name {
-				continue
-			}
-			p := o.peers[owner.Node]
-			if p == nil {
-				if now-o.started > holding.AddDrift(o.cfg.Timing.Lease) {
-					lost[owner] = &peer{entry: &Entry{Name: owner.Node}}
-				}
-			} else if !p.isLive(o.entriesKnownAt(now)) {
-				lost[owner] = p
+	knownAt := o.entriesKnownAt(now)
+	for _, owner := range t.OwnersInUse() {
+		if owner.Node == o.cfg.Self.Name {
+			continue
+		}
+		p := o.peers[owner.Node]
+		if p == nil {
+			if now-o.started > holding.AddDrift(o.cfg.Timing.Lease) {
+				lost[owner] = &peer{entry: &Entry{Name: owner.Node}}
 			}
+		} else if !p.isLive(knownAt) {
+			lost[owner] = p
 		}
 	}
 	return lost
@@ -347,11 +366,12 @@
 // candidates returns the targets of a service whose nodes are live, sorted by node name.
 func (o *Ownership) candidates(service string, now time.Duration) []holding.Candidate {
 	var found []holding.Candidate
+	knownAt := o.entriesKnownAt(now)
 	for name, p := range o.peers {
 		if name == o.cfg.Self.Name && (o.target == nil || o.target.isAbsent(now, o.cfg.Timing.TargetTimeout)) {
 			continue
 		}
-		if p.entry.Target != nil && p.entry.Target.Service == service && p.isLive(o.entriesKnownAt(now)) {
+		if p.entry.Target != nil && p.entry.Target.Service == service && p.isLive(knownAt) {
 			t := p.entry.Target
 			found = append(found, holding.Candidate{
 				Owner: p.entry.owner(), Leaving: t.Draining, Capacity: t.Load.Capacity, Rate: t.Load.Rate, Hot: t.Load.Hot,
