platform/objectstore: decode listings once, in their own encoding

Nodes at 195 VMs spent a fifth of their processor time on listings of the entries. Each was decoded from CBOR into maps, encoded as JSON, checked, cut into items and decoded twice more. Bodies and their parts now stay in their encoding until they are decoded into the type that is wanted.

--- a/standin/sidecar/sidecar_test.go
+++ b/standin/sidecar/sidecar_test.go
@@ -121,7 +121,7 @@
 
 func (s *deployment) putConfig(version int, config string) {
 	s.t.Helper()
-	object := objectstore.Object{Meta: objectstore.Meta{Name: "main"}, Spec: json.RawMessage(config)}
+	object := objectstore.Object{Meta: objectstore.Meta{Name: "main"}, Spec: body.Raw(config)}
 	text, err := json.Marshal(object)
 	if err != nil {
 		s.t.Fatal(err)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	page := objectstore.Page{Items: []json.RawMessage{}, CurrentRev: listing.Version.Revision()}
+	page := objectstore.Page{Items: []body.Raw{}, CurrentRev: listing.Version.Revision()}
 	size := 0
 	for _, object := range listing.Objects {
 		m := toWire(object)
@@ -329,9 +329,9 @@
 // toWire returns the object in the form of the protocol.
 func toWire(o objects.Object) objectstore.Object {
 	_, name, _ := strings.Cut(o.Key, "/")
-	spec := json.RawMessage(o.Value)
+	spec := body.Raw(o.Value)
 	if len(spec) == 0 {
-		spec = json.RawMessage("null")
+		spec = body.Raw("null")
 	}
 	return objectstore.Object{Meta: objectstore.Meta{Name: name, Rev: o.Version.Revision()}, Spec: spec}
 }
