node/ownership: find the nodes at an address without looking at all of them

Each entry that was read was compared with all others, so reading the entries of n nodes cost n squared. Nodes are now also kept by address.

--- a/node/ownership/entry.go
+++ b/node/ownership/entry.go
@@ -98,3 +98,11 @@
 func (p *peer) isLive(now time.Duration) bool {
 	return p.entry.RevokedBy == "" && !p.replaced && !p.watch.Lapsed(now, p.entry.lease())
 }
+
+// address returns the node's address; empty before its entry is known.
+func (p *peer) address() string {
+	if p.entry == nil {
+		return ""
+	}
+	return p.entry.Address
+}
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -250,6 +251,7 @@
 	for name, p := range o.peers {
 		if !present[name] && p.version <= listing.Version {
 			delete(o.peers, name)
+			o.setAddress(p, p.address(), "")
 			o.cfg.Log.Info("node entry no longer in the store", "peer", name, "version", listing.Version)
 		}
 	}
@@ -273,6 +275,7 @@
 	}
 	// A revocation is no sign of life and does not restart the watch of the lease.
 	renewed := p.entry == nil || p.entry.isRenewedBy(entry)
+	o.setAddress(p, p.address(), entry.Address)
 	p.entry, p.version = entry, version
 	o.voter.Revoked(entry.Name, revokedVersion(entry, version))
 	if entry.RevokedBy == "" {
@@ -291,10 +294,27 @@
 // written: the platform gives an address to another VM only after the former VM is gone. The caller
 // holds the lock.
 func (o *Ownership) markReplaced(latest *peer) {
-	for name, p := range o.peers {
-		if p != latest && p.entry != nil && p.entry.Address == latest.entry.Address && p.version < latest.version && !p.replaced {
+	for _, p := range o.peersAt[latest.entry.Address] {
+		if p != latest && p.version < latest.version && !p.replaced {
 			p.replaced = true
-			o.cfg.Log.Info("node replaced", "peer", name, "by", latest.entry.Name, "address", latest.entry.Address)
+			o.cfg.Log.Info("node replaced", "peer", p.entry.Name, "by", latest.entry.Name, "address", latest.entry.Address)
+		}
+	}
+}
+
+// setAddress keeps peersAt when the address of a peer's entry changes from former to latest; an empty address
+// stands for none. The caller holds the lock.
+func (o *Ownership) setAddress(p *peer, former, latest string) {
+	if former == latest {
+		return
+	}
+	if former != "" {
+		others := slices.DeleteFunc(o.peersAt[former], func(other *peer) bool { return other == p })
+		if o.peersAt[former] = others; len(others) == 0 {
+			delete(o.peersAt, former)
 		}
 	}
+	if latest != "" {
+		o.peersAt[latest] = append(o.peersAt[latest], p)
+	}
 }
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -143,8 +143,10 @@
 	// version is the version of this node's entry; zero before the first write.
 	version objects.Version
 	// peers holds the last known entries by node name, this node's included.
-	peers  map[string]*peer
-	tables map[string]*table
+	peers map[string]*peer
+	// peersAt holds the same entries by address.
+	peersAt map[string][]*peer
+	tables  map[string]*table
 	// target is the present process of the local target; nil before its first heartbeat.
 	target *targetProcess
 	// leaveNotices holds the calls of Leave by targets without a report, by target id.
@@ -198,6 +200,7 @@
 		restored:             make(map[string]*restoredTable),
 		leaveNotices:         make(map[string]leaveNotice),
 		peers:                make(map[string]*peer),
+		peersAt:              make(map[string][]*peer),
 		tables:               make(map[string]*table),
 		planNeededSince:      make(map[string]time.Duration),
 		planChecks:           make(map[string]planCheck),
--- a/node/ownership/scale_test.go
+++ b/node/ownership/scale_test.go
@@ -116,3 +116,29 @@
 		}
 	}
 }
+
+// TestAddressOfAnotherVMMarksTheFormerNode reads entries of which two share an address: the node with the
+// earlier one is gone for good, until it writes its entry at another address.
+func TestAddressOfAnotherVMMarksTheFormerNode(t *testing.T) {
+	f := newFleet(9)
+	now := time.Second
+	o := f.newObserver(0, func() time.Duration { return now })
+	f.entries[7].Address = f.entries[4].Address
+	o.observeEntries(f.listing())
+	if !o.peers["vm-0004"].replaced || o.peers["vm-0007"].replaced {
+		t.Fatalf("replaced: vm-0004 %t, vm-0007 %t", o.peers["vm-0004"].replaced, o.peers["vm-0007"].replaced)
+	}
+	f.entries[4].Address = "10.9.9.9:8146"
+	o.observeEntries(f.listing())
+	if o.peers["vm-0004"].replaced || o.peers["vm-0007"].replaced {
+		t.Error("a node at an address of its own counts as replaced")
+	}
+	f.entries[2].Address = "10.9.9.9:8146"
+	f.entries[4].Address = f.entries[3].Address
+	listing := f.listing()
+	listing.Objects = append(listing.Objects[:7], listing.Objects[8:]...)
+	o.observeEntries(listing)
+	if len(o.peersAt["10.9.9.9:8146"]) != 1 || len(o.peersAt[f.entries[7].Address]) != 0 || !o.peers["vm-0003"].replaced {
+		t.Errorf("addresses after a move and a removal: %v", o.peersAt)
+	}
+}
