node/ownership: a lease is proved by any write of the table since it was acquired

When all nodes restart, each wrote the table of its service to prove its lease, conditional on the same version: n writers need about n*n/2 writes, and no key is granted before its owner's turn. Callers of the keyed service got 503 for seconds after a loss of power of all VMs.

What the proof needs is that a takeover that was decided before the lease was acquired can no longer be written. Such a takeover read the table before the lease was acquired, so each later write of the table makes it fail, whoever wrote it. Versions of all objects come from one counter; the version of the entry that acquired the lease tells which writes are later.

--- a/core/holding/lease.go
+++ b/core/holding/lease.go
@@ -58,8 +58,8 @@
 // Lost records that the entry was revoked or replaced.
 func (l *Lease) Lost() { l.expiresAt, l.proved = 0, false }
 
-// Prove records that the table was written since the lease was acquired: the conditional write keeps
-// a takeover that was decided earlier from taking effect.
+// Prove records that the table was written since the lease was acquired, by whichever node: the conditional
+// write of a takeover that was decided earlier then fails.
 func (l *Lease) Prove() { l.proved = true }
 
 // Unprove records that the store may have lost the write that proved the lease.
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -77,6 +77,9 @@
 	defer o.mu.Unlock()
 	o.enterEra(version.Era(), now)
 	o.version = version
+	if !*continued || o.acquiredAt == 0 || o.acquiredAt.Era() != version.Era() {
+		o.acquiredAt = version
+	}
 	o.lease.Renewed(sent, *continued)
 	o.observeEntry(&entry, version, now)
 	if !*continued {
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -7,8 +7,8 @@
 // Each keyed service has one table of slices, changed by conditional writes. When a node's lease has
 // lapsed by another node's clock, that other node first revokes the lease by a conditional write of
 // the entry, which makes any renewal in flight fail, and then reassigns the node's slices in the
-// table. A node whose lease was revoked writes the tables once before it grants anything again, so
-// that a takeover decided earlier fails.
+// table. A node whose lease was revoked grants nothing again until the table has been written once more, by
+// itself or another node, so that a takeover decided earlier fails.
 //
 // While the store is unavailable, a lease is extended by promises of a majority of the voters that
 // the node's entry names (holding.Voter). A takeover therefore needs the consent of a majority, or
@@ -142,6 +142,9 @@
 	lease holding.Lease
 	// version is the version of this node's entry; zero before the first write.
 	version objects.Version
+	// acquiredAt is the version of the entry whose write acquired the lease, or renewed it first in the store's
+	// present era; zero before.
+	acquiredAt objects.Version
 	// peers holds the last known entries by node name, this node's included.
 	peers map[string]*peer
 	// peersAt holds the same entries by address.
--- a/node/ownership/planning_test.go
+++ b/node/ownership/planning_test.go
@@ -22,11 +22,7 @@
 			granted := false
 			o.cfg.ResponseLimit.GrantBytes = func(holding.Grant) int { granted = true; return 11 }
 			for began := now; now < began+length; now += interval {
-				// Entries that are read anew keep the nodes live.
-				for _, p := range o.peers {
-					p.watch.Seen = now
-				}
-				o.entriesReadAt = now
+				keepLive(o, now)
 				if granted = false; o.plan("k") != nil {
 					t.Fatal("the balanced table needs a change")
 				}
@@ -44,6 +40,17 @@
 	}
 }
 
+// keepLive has the node read renewed leases of all nodes and receive a heartbeat of its target.
+func keepLive(o *Ownership, now time.Duration) {
+	for _, p := range o.peers {
+		p.watch.Seen = now
+	}
+	o.entriesReadAt = now
+	if o.target != nil {
+		o.target.heartbeatAt = now
+	}
+}
+
 // TestNextNodePlansWhenTheFirstDoesNot removes a target's slices from the table while the first nodes are live
 // but write nothing.
 func TestNextNodePlansWhenTheFirstDoesNot(t *testing.T) {
@@ -61,10 +68,7 @@
 		began := now
 		for o.plan("k") == nil && now < began+10*time.Second {
 			now += o.cfg.Timing.ReconcileInterval
-			for _, p := range o.peers {
-				p.watch.Seen = now
-			}
-			o.entriesReadAt = now
+			keepLive(o, now)
 		}
 		// Each node leaves the change to those before it, and finds that it is needed in half that time at most.
 		limit := time.Duration(node)*o.cfg.Timing.RankDelay*3/2 + o.cfg.Timing.ReconcileInterval
--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -246,18 +246,32 @@
 	return now > o.started+holding.AddDrift(max(o.cfg.Timing.Lease, o.cfg.Timing.TargetTimeout))
 }
 
-// planLeaseProof plans the write that proves the lease, unless that was done since the lease was
+// planLeaseProof plans the write that proves the lease, unless the table was written since the lease was
 // acquired.
 func (o *Ownership) planLeaseProof(change *tableChange, service string, now time.Duration) {
 	if o.lease.Proved() || !o.lease.Valid(now) || o.target == nil || o.target.report.Service != service {
 		return
 	}
+	t := o.tables[service]
+	if t != nil && o.provesLease(t) {
+		o.lease.Prove()
+		o.cfg.Log.Info("lease proved", "by", t.version, "acquired", o.acquiredAt)
+		return
+	}
 	change.provesLease = true
-	if o.tables[service] != nil {
+	if t != nil {
 		change.addReason(true, "lease reacquired")
 	}
 }
 
+// provesLease reports whether the table was written, by any node, after this node acquired its lease. A node
+// that took over from this one read the table before it revoked the lease, so before the lease was acquired:
+// its write of the table is conditional on an earlier version and fails. Versions of all objects come from one
+// counter of the store.
+func (o *Ownership) provesLease(t *table) bool {
+	return o.acquiredAt != 0 && o.acquiredAt.Era() == o.era && t.version.Era() == o.era && t.isCurrent() && t.version > o.acquiredAt
+}
+
 // planShared plans the changes that any node may make: it removes owners at lost nodes, and assigns
 // and moves slices.
 func (o *Ownership) planShared(change *tableChange, service string, now time.Duration) {
--- a/node/ownership/scale_test.go
+++ b/node/ownership/scale_test.go
@@ -54,12 +54,20 @@
 	return listing
 }
 
+// steadyLoad implements TargetMonitor with a load that does not change.
+type steadyLoad struct {
+	noMeasure
+	load holding.Load
+}
+
+func (m steadyLoad) Load() holding.Load { return m.load }
+
 // newObserver returns the state of the given node after it has read the entries of the fleet and the table of
 // its keyed service.
 func (f *fleet) newObserver(node int, clock func() time.Duration) *Ownership {
 	self := f.entries[node]
 	o := New(Config{
-		Self: self, Clock: clock, IsKeyed: func(s string) bool { return s == "k" }, Monitor: noMeasure{},
+		Self: self, Clock: clock, IsKeyed: func(s string) bool { return s == "k" }, Monitor: steadyLoad{load: self.Target.Load},
 		Timing: Timing{
 			Lease: 2800 * time.Millisecond, RenewInterval: 800 * time.Millisecond, EntryReadInterval: 800 * time.Millisecond,
 			ReconcileInterval: 200 * time.Millisecond, RankDelay: 400 * time.Millisecond, SettleTime: 2500 * time.Millisecond,
@@ -69,6 +77,9 @@
 		Log:           slog.New(slog.DiscardHandler),
 	}, nil)
 	o.observeEntries(f.listing())
+	if self.Target.Service == "k" {
+		o.Heartbeat(holding.Report{ID: self.Target.ID, Born: self.Target.Born, Service: "k", Address: "x", Slots: 4, Sequence: 1})
+	}
 	table := holding.NewTable("k")
 	table.Assign(o.candidates("k", clock()))
 	value, err := table.Encode()
