node/ownership: starting nodes of a large fleet read the entries as seldom as at rest

When 195 nodes start together, each listed all entries five times a second. The pause between two readings now grows with the number of known nodes: 0.2 s up to 20 nodes, as before, and 0.8 s, as at rest, from 80 on.

TestStartOfALargeFleetReadsEntriesAsSeldomAsAtRest names the pauses; before the change all of them were 0.2 s.

--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -177,16 +177,12 @@
 func (o *Ownership) readEntriesLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := o.readEntries(ctx)
-		pause := o.cfg.Timing.EntryReadInterval
 		if err == nil {
 			o.deleteExpiredEntry(ctx)
 		} else {
 			o.cfg.Log.Warn("node entries not read", "cause", err.Error())
 		}
-		if o.isStarting() {
-			pause = o.cfg.Timing.ReconcileInterval
-		}
-		wait(ctx, pause, nil)
+		wait(ctx, o.entryReadPause(), nil)
 	}
 }
 
@@ -227,10 +223,21 @@
 	return v.Era() > o.era
 }
 
-// isStarting reports whether the process has started so recently that it reads the entries more
-// often, to find the other nodes soon.
-func (o *Ownership) isStarting() bool {
-	return o.cfg.Clock()-o.started < 2*o.cfg.Timing.InitialAssignDelay
+// startingPausePerNode is how long a starting node waits between two readings of the entries for each node
+// that it knows. A listing grows with the fleet, and all nodes may start at the same time: without it, their
+// readings would fill the link between the regions while nodes acquire their leases over it.
+const startingPausePerNode = 10 * time.Millisecond
+
+// entryReadPause returns the time until the entries are read again. A process that has started recently reads
+// them more often, to find the other nodes soon, unless there are many.
+func (o *Ownership) entryReadPause() time.Duration {
+	if o.cfg.Clock()-o.started >= 2*o.cfg.Timing.InitialAssignDelay {
+		return o.cfg.Timing.EntryReadInterval
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pause := time.Duration(len(o.peers)) * startingPausePerNode
+	return min(max(pause, o.cfg.Timing.ReconcileInterval), o.cfg.Timing.EntryReadInterval)
 }
 
 // observeEntries records a listing of all entries and forgets the nodes that are missing in it.
--- a/node/ownership/scale_test.go
+++ b/node/ownership/scale_test.go
@@ -71,7 +71,7 @@
 		Timing: Timing{
 			Lease: 2800 * time.Millisecond, RenewInterval: 800 * time.Millisecond, EntryReadInterval: 800 * time.Millisecond,
 			ReconcileInterval: 200 * time.Millisecond, RankDelay: 400 * time.Millisecond, SettleTime: 2500 * time.Millisecond,
-			TargetTimeout: 4 * time.Second, ExtendLimit: 15 * time.Second, EntryExpiry: time.Minute,
+			TargetTimeout: 4 * time.Second, InitialAssignDelay: 2500 * time.Millisecond, ExtendLimit: 15 * time.Second, EntryExpiry: time.Minute,
 		},
 		ResponseLimit: holding.ResponseLimit{Bytes: 4000, GrantBytes: func(holding.Grant) int { return 11 }},
 		Log:           slog.New(slog.DiscardHandler),
@@ -153,3 +153,18 @@
 		t.Errorf("addresses after a move and a removal: %v", o.peersAt)
 	}
 }
+
+// TestStartOfALargeFleetReadsEntriesAsSeldomAsAtRest starts processes in fleets of several sizes.
+func TestStartOfALargeFleetReadsEntriesAsSeldomAsAtRest(t *testing.T) {
+	for nodes, want := range map[int]time.Duration{9: 200 * time.Millisecond, 40: 400 * time.Millisecond, 195: 800 * time.Millisecond} {
+		now := time.Second
+		o := newFleet(nodes).newObserver(0, func() time.Duration { return now })
+		if pause := o.entryReadPause(); pause != want {
+			t.Errorf("%d nodes: reads again after %s, wanted %s", nodes, pause, want)
+		}
+		now += 6 * time.Second
+		if pause := o.entryReadPause(); pause != o.cfg.Timing.EntryReadInterval {
+			t.Errorf("%d nodes, at rest: reads again after %s", nodes, pause)
+		}
+	}
+}
