--- a/core/holding/scale_test.go
+++ b/core/holding/scale_test.go
@@ -56,3 +56,21 @@
 		})
 	}
 }
+
+// BenchmarkDecode measures reading a table that has been written, as each node does after each write.
+func BenchmarkDecode(b *testing.B) {
+	for _, n := range fleetSizes {
+		table, _ := balancedTable(n)
+		value, err := table.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Decode(value); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
