--- a/node/ownership/restart_test.go
+++ b/node/ownership/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,8 +27,9 @@
 }
 
 // restartedFleet returns nodes whose former processes have ended all at once. They have acquired their
-// leases again, one after the other, know the table and have heard from their targets.
-func restartedFleet(t *testing.T, nodes int) (restarted []*Ownership, tableWrites *int) {
+// leases again, one after the other, know the table and have heard from their targets, which started again
+// later by the given number of milliseconds.
+func restartedFleet(t *testing.T, nodes int, targetsLater int64) (restarted []*Ownership, tableWrites *int) {
 	t.Helper()
 	tableWrites = new(int)
 	store, ctx := countingStore{memStore{memstore.New(memstore.Options{})}, tableWrites}, context.Background()
@@ -54,7 +56,7 @@
 		o.store, o.peers, o.tables = store, make(map[string]*peer), make(map[string]*table)
 		o.rereadTable(ctx, "k")
 		target := f.entries[i].Target
-		o.Heartbeat(holding.Report{ID: target.ID, Born: target.Born, Service: target.Service, Address: "x", Slots: 4, Sequence: 1})
+		o.Heartbeat(holding.Report{ID: target.ID, Born: target.Born + targetsLater, Service: target.Service, Address: "x", Slots: 4, Sequence: 1})
 		restarted = append(restarted, o)
 	}
 	for _, o := range restarted {
@@ -70,7 +72,7 @@
 // before it knows of the writes of the others.
 func TestRestartOfAllNodesWritesTheTableOnce(t *testing.T) {
 	const nodes = 30
-	restarted, writes := restartedFleet(t, nodes)
+	restarted, writes := restartedFleet(t, nodes, 0)
 	rounds := 0
 	for isProved := false; !isProved && rounds < 2*nodes; rounds++ {
 		isProved = true
@@ -85,10 +87,65 @@
 	}
 }
 
+// TestRestartOfAllTargetsIsWrittenByOneNode lets the nodes of a fleet remove the former processes of their targets
+// from the table at the same time.
+func TestRestartOfAllTargetsIsWrittenByOneNode(t *testing.T) {
+	const nodes = 30
+	restarted, writes := restartedFleet(t, nodes, 5000)
+	ctx := context.Background()
+	first := restarted[0]
+	isStale := func(owner holding.Owner) bool {
+		return !slices.ContainsFunc(restarted, func(o *Ownership) bool { return o.target.owner(o.cfg.Self.Name) == owner })
+	}
+	rounds := 0
+	for hasStale := true; hasStale && rounds < 2*nodes; rounds++ {
+		if err := first.readEntries(ctx); err != nil {
+			t.Fatal(err)
+		}
+		for _, o := range restarted {
+			o.reconcile(ctx, "k")
+		}
+		first.rereadTable(ctx, "k")
+		hasStale = slices.ContainsFunc(first.tables["k"].OwnersInUse(), isStale)
+	}
+	t.Logf("%d writes in %d rounds", *writes, rounds)
+	if *writes > nodes || rounds > 3 {
+		t.Errorf("%d nodes attempted %d writes of the table in %d rounds", nodes, *writes, rounds)
+	}
+}
+
+// TestFormerTargetThatMayLiveIsLeftToItsNode has a target report at another address while the former one may still
+// hold keys: only its node knows when its grants have lapsed.
+func TestFormerTargetThatMayLiveIsLeftToItsNode(t *testing.T) {
+	restarted, _ := restartedFleet(t, 9, 0)
+	node, planner, ctx := restarted[1], restarted[0], context.Background()
+	former := node.target.owner("vm-0001")
+	report := holding.Report{ID: "i-later", Address: "y", Born: former.Born + 5000, Service: "k", Slots: 4, Sequence: 1}
+	isRemoved := func() bool {
+		continued := false
+		if !node.renewOnce(ctx, &continued) || planner.readEntries(ctx) != nil {
+			t.Fatal("the entry is not written or not read")
+		}
+		_, removed := planner.lostOwners(planner.tables["k"].Table, planner.cfg.Clock())[former]
+		return removed
+	}
+	if isRemoved() {
+		t.Error("the present target is removed")
+	}
+	node.Heartbeat(report)
+	if isRemoved() {
+		t.Error("a former target that may still hold keys is removed")
+	}
+	node.formerTargets[0].ended = true
+	if !isRemoved() {
+		t.Error("a former target that has ended is not removed")
+	}
+}
+
 // TestTableFromBeforeTheLeaseProvesNothing acquires a lease after the table was last written: a takeover that
 // was decided before may still change it.
 func TestTableFromBeforeTheLeaseProvesNothing(t *testing.T) {
-	restarted, _ := restartedFleet(t, 9)
+	restarted, _ := restartedFleet(t, 9, 0)
 	node, ctx := restarted[0], context.Background()
 	known := node.tables["k"]
 	if node.provesLease(known) {
