node/ownership: the first node removes the ended targets of all nodes in one write

Cause of the slow return of keys after a loss of power: only a target's own node could remove its former process, and the writes of all nodes collide on one table, which takes one write each 60 ms. An entry now says that all former processes of its node's target have ended, so that the first node can remove the owners of all nodes at once. A node still tries at once, since a single restart is the usual case; after a conflict it leaves the change to the first node for two readings of the entries.

A process that has ended holds nothing again, so the statement stays true after the entry has been replaced.

--- a/node/ownership/entry.go
+++ b/node/ownership/entry.go
@@ -57,6 +57,9 @@
 	// Draining is set once the target has sent a heartbeat in state draining or a leave call; it
 	// gets no new slices and no shared requests.
 	Draining bool `json:"draining,omitempty"`
+	// FormerEnded is set if the processes of all earlier targets of the node are known to have ended, so that
+	// other nodes may remove them from the tables.
+	FormerEnded bool `json:"former_ended,omitempty"`
 	// Load is the target's load as measured by the node.
 	Load holding.Load `json:"load"`
 }
@@ -65,6 +68,11 @@
 	return holding.Owner{Node: e.Name, Target: e.Target.ID, Born: e.Target.Born}
 }
 
+// hasEnded reports whether the entry shows that an owner on its node is a process that has ended.
+func (e *Entry) hasEnded(owner holding.Owner) bool {
+	return e.Target != nil && e.Target.FormerEnded && owner.Born < e.Target.Born
+}
+
 func (e *Entry) lease() time.Duration { return time.Duration(e.LeaseMillis) * time.Millisecond }
 
 // isRenewedBy reports whether other is a different renewal of the lease than e. A revocation keeps
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -143,7 +143,7 @@
 	if process := o.target; process != nil && !process.isAbsent(now, o.cfg.Timing.TargetTimeout) {
 		entry.Target = &Target{
 			ID: process.report.ID, Born: process.report.Born, Service: process.report.Service, Slots: process.report.Slots,
-			Draining: process.isLeaving(), Load: load,
+			Draining: process.isLeaving(), FormerEnded: o.haveFormerTargetsEnded(), Load: load,
 		}
 	}
 	return entry, o.version
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -161,6 +161,9 @@
 	planNeededSince map[string]time.Duration
 	// planChecks holds the last checks whether a table needs such a change, by service.
 	planChecks map[string]planCheck
+	// goneLeftUntil is until when this node leaves it to the first node to remove its ended targets from a
+	// table, by service. When all targets restart, the writes of their nodes would collide for seconds.
+	goneLeftUntil map[string]time.Duration
 	// movingSeenAt is when slices of a service were last seen moving, by service.
 	movingSeenAt map[string]time.Duration
 	stopping     bool
@@ -207,6 +210,7 @@
 		tables:               make(map[string]*table),
 		planNeededSince:      make(map[string]time.Duration),
 		planChecks:           make(map[string]planCheck),
+		goneLeftUntil:        make(map[string]time.Duration),
 		movingSeenAt:         make(map[string]time.Duration),
 		started:              cfg.Clock(),
 	}
--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -83,6 +83,9 @@
 	return services
 }
 
+// reasonTargetGone is the reason for a write that removes owners whose processes have ended.
+const reasonTargetGone = "target gone"
+
 // tableChange is a planned conditional write of a table.
 type tableChange struct {
 	table    *holding.Table
@@ -116,11 +119,14 @@
 	if err != nil {
 		o.cfg.Log.Warn("table not written", "service", service, "expected", change.expected,
 			"reasons", strings.Join(change.reasons, ","), "cause", err.Error())
+		o.mu.Lock()
 		if errors.Is(err, objects.ErrUnknownOutcome) {
-			o.mu.Lock()
 			o.dropReleased(change.table)
-			o.mu.Unlock()
 		}
+		if errors.Is(err, objects.ErrConflict) && slices.Contains(change.reasons, reasonTargetGone) {
+			o.goneLeftUntil[service] = o.cfg.Clock() + 2*o.cfg.Timing.EntryReadInterval
+		}
+		o.mu.Unlock()
 		o.rereadTable(ctx, service)
 		return
 	}
@@ -204,6 +210,9 @@
 	if process := o.target; process != nil && process.report.Service == service && !process.isAbsent(now, o.cfg.Timing.TargetTimeout) {
 		change.addReason(change.table.UnmarkGone(process.owner(o.cfg.Self.Name)), "target returned")
 	}
+	if now < o.goneLeftUntil[service] && o.haveFormerTargetsEnded() {
+		return
+	}
 	removed := make(map[int]bool)
 	for _, owner := range t.Owners {
 		if owner.Node == o.cfg.Self.Name && o.hasEnded(owner, now) {
@@ -220,7 +229,7 @@
 		}
 	}
 	if len(removed) > 0 {
-		change.addReason(true, "target gone")
+		change.addReason(true, reasonTargetGone)
 		isRemoved := func(slice int) bool { return change.table.IsSettled() || removed[slice] }
 		change.addReason(change.table.AssignFrom(o.candidates(service, now), isRemoved), "assigned")
 	}
@@ -272,8 +281,8 @@
 	return o.acquiredAt != 0 && o.acquiredAt.Era() == o.era && t.version.Era() == o.era && t.isCurrent() && t.version > o.acquiredAt
 }
 
-// planShared plans the changes that any node may make: it removes owners at lost nodes, and assigns
-// and moves slices.
+// planShared plans the changes that any node may make: it removes owners at lost nodes and those that have ended,
+// and assigns and moves slices.
 func (o *Ownership) planShared(change *tableChange, service string, now time.Duration) {
 	var lost map[holding.Owner]*peer
 	if change.table.IsSettled() {
@@ -298,10 +307,12 @@
 		return
 	}
 	for owner, p := range lost {
-		change.addReason(change.table.RemoveOwner(owner), "node lost: "+owner.Node)
-		if p != nil {
-			change.revokeFirst = append(change.revokeFirst, *p)
+		if p == nil {
+			change.addReason(change.table.RemoveOwner(owner), reasonTargetGone)
+			continue
 		}
+		change.addReason(change.table.RemoveOwner(owner), "node lost: "+owner.Node)
+		change.revokeFirst = append(change.revokeFirst, *p)
 	}
 	if change.table.IsSettled() {
 		change.addReason(change.table.Assign(candidates), "assigned")
@@ -355,9 +366,9 @@
 	return before
 }
 
-// lostOwners returns the owners whose node no longer has a lease, each with what is known of that
-// node. The lease of a node without an entry counts as lapsed once this process has run for longer
-// than a lease.
+// lostOwners returns the owners that are to be removed: those whose node no longer has a lease, each with what is
+// known of that node, and those whose node says that they have ended, each with nil. The lease of a node without
+// an entry counts as lapsed once this process has run for longer than a lease.
 func (o *Ownership) lostOwners(t *holding.Table, now time.Duration) map[holding.Owner]*peer {
 	lost := make(map[holding.Owner]*peer)
 	knownAt := o.entriesKnownAt(now)
@@ -366,11 +377,14 @@
 			continue
 		}
 		p := o.peers[owner.Node]
-		if p == nil {
+		switch {
+		case p == nil:
 			if now-o.started > holding.AddDrift(o.cfg.Timing.Lease) {
 				lost[owner] = &peer{entry: &Entry{Name: owner.Node}}
 			}
-		} else if !p.isLive(knownAt) {
+		case p.entry.hasEnded(owner):
+			lost[owner] = nil
+		case !p.isLive(knownAt):
 			lost[owner] = p
 		}
 	}
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/holding"
@@ -120,6 +121,13 @@
 	return o.target
 }
 
+// haveFormerTargetsEnded reports whether the processes of all earlier targets of this node have ended. Those that
+// only a former process of the node knew ended before the present target began to report, since a node has one
+// local target at a time. The caller holds the lock.
+func (o *Ownership) haveFormerTargetsEnded() bool {
+	return !slices.ContainsFunc(o.formerTargets, func(p *targetProcess) bool { return !p.ended })
+}
+
 // leaveNotice records the leave call of a target that this process had no report of yet, or that
 // called a former process of this node.
 type leaveNotice struct {
