--- a/cmd/auburnrelay/explain/explain.go
+++ b/cmd/auburnrelay/explain/explain.go
@@ -173,7 +173,7 @@
 }
 
 // routineMessages lists messages that are too frequent on every node to be of use.
-var routineMessages = []string{"vote", "table read", "node found"}
+var routineMessages = []string{"vote", "table read", "node found", "nodes found at the start"}
 
 // isRelated reports whether an event was logged by one of the names or mentions one as its target
 // or peer.
--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -246,7 +246,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.enterEra(listing.Version.Era(), now)
-	// The first listing that a process reads is never a stale one (see readEntries).
+	// The first listing that a process reads is never a stale one (see readEntries). Its nodes are logged in one
+	// line: when all nodes of a large fleet start, the lines of all would grow with the square of their number.
+	isFirst := !o.hasReadStore
 	o.entriesReadAt, o.hasReadStore = now, true
 	present := make(map[string]bool, len(listing.Objects))
 	for _, object := range listing.Objects {
@@ -256,8 +258,14 @@
 			continue
 		}
 		present[entry.Name] = true
+		if !isFirst && o.peers[entry.Name] == nil {
+			o.cfg.Log.Info("node found", "peer", entry.Name, "address", entry.Address, "version", object.Version)
+		}
 		o.observeEntry(entry, object.Version, now)
 	}
+	if isFirst {
+		o.cfg.Log.Info("nodes found at the start", "nodes", len(present), "version", listing.Version)
+	}
 	for name, p := range o.peers {
 		if !present[name] && p.version <= listing.Version {
 			delete(o.peers, name)
@@ -275,7 +283,6 @@
 	if p == nil {
 		p = &peer{watch: holding.LeaseWatch{}}
 		o.peers[entry.Name] = p
-		o.cfg.Log.Info("node found", "peer", entry.Name, "address", entry.Address, "version", version)
 	}
 	if version <= p.version {
 		return
--- a/node/ownership/scale_test.go
+++ b/node/ownership/scale_test.go
@@ -1,9 +1,11 @@
 package ownership
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +170,22 @@
 		}
 	}
 }
+
+// TestStartLogsOneLineForAllNodes reads the entries of a fleet for the first time, and then one more.
+func TestStartLogsOneLineForAllNodes(t *testing.T) {
+	var log bytes.Buffer
+	f := newFleet(40)
+	o := New(Config{
+		Self: f.entries[0], Clock: func() time.Duration { return time.Second }, Monitor: noMeasure{},
+		Log: slog.New(slog.NewTextHandler(&log, nil)),
+	}, nil)
+	o.observeEntries(f.listing())
+	if lines := strings.Count(log.String(), "\n"); lines != 1 {
+		t.Errorf("%d lines at the start", lines)
+	}
+	f.entries = append(f.entries, newFleet(41).entries[40])
+	o.observeEntries(f.listing())
+	if !strings.Contains(log.String(), "peer=vm-0040") {
+		t.Errorf("the node that joined is not logged: %s", log.String())
+	}
+}
