--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -54,34 +54,21 @@
 
 	mu    sync.Mutex
 	seq   int64
-	state string
 	holds [sliceCount]int64
 	until time.Time
 	freed [][3]any
 	runs  map[string]int
-	ran   []run
 	// beating is cleared to stop the heartbeats.
 	beating bool
-	version string
-}
-
-// run is a request that a backend began.
-type run struct {
-	at  time.Time
-	id  string
-	key int
 }
 
+// startBackend starts a backend beside the node; h is nil for a shared service.
 func startBackend(n *node, id string, h *holdings) *backend {
-	return startBackendAt(n, id, h, loopbackIP()+":0")
-}
-
-func startBackendAt(n *node, id string, h *holdings, address string) *backend {
 	b := &backend{
 		id: id, service: n.service, node: n, holdings: h, record: n.cluster.record, ended: make(chan struct{}),
-		state: "ready", runs: map[string]int{}, beating: true, work: workTime, version: "v1",
+		runs: map[string]int{}, beating: true, work: workTime,
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", loopbackIP()+":0")
 	must(err)
 	b.listener, b.address, b.born = l, l.Addr().String(), time.Now().UnixMilli()
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
@@ -112,12 +99,6 @@
 	}
 }
 
-func (b *backend) setState(state string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state = state
-}
-
 func (b *backend) beatLoop() {
 	for b.isUp() {
 		b.mu.Lock()
@@ -160,8 +141,8 @@
 	freed := b.freed
 	message := map[string]any{
 		"addr": b.address, "born": b.born,
-		"info":   map[string]any{"service": b.service, "version": b.version, "zone": "z", "slots": 6},
-		"status": map[string]any{"state": b.state, "seq": b.seq, "cold-left-s": 0},
+		"info":   map[string]any{"service": b.service, "version": "v1", "zone": "z", "slots": 6},
+		"status": map[string]any{"state": "ready", "seq": b.seq, "cold-left-s": 0},
 		"holds":  b.rows(), "freed": freed,
 	}
 	b.mu.Unlock()
@@ -364,18 +345,6 @@
 	return time.Now().Before(b.until) && b.holds[key/sliceKeys] != 0
 }
 
-func (b *backend) count() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := 0
-	for _, fence := range b.holds {
-		if fence != 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // serve runs a request as the pages say.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
@@ -397,7 +366,6 @@
 	}
 	b.mu.Lock()
 	b.runs[id]++
-	b.ran = append(b.ran, run{time.Now(), id, key})
 	b.mu.Unlock()
 	b.record.printf("%s: runs %s, key %d", b.id, id, key)
 	select {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -31,15 +31,11 @@
 }
 
 // send sends one request; a negative key sends no X-Shard-Key.
-func (c *client) send(n *node, method, path string, key int, timeout time.Duration, payload string) answer {
+func (c *client) send(n *node, method, path string, key int, timeout time.Duration) answer {
 	a := answer{id: fmt.Sprintf("%016x", c.last.Add(1)), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
 	defer cancel()
-	var reader io.Reader
-	if payload != "" {
-		reader = strings.NewReader(payload)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, reader)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+path, nil)
 	must(err)
 	request.Host = "a.example"
 	request.Close = true
@@ -76,7 +72,7 @@
 	deadline := time.Now().Add(within)
 	for _, n := range nodes {
 		for key := 0; key < 65536; key += 8191 {
-			for c.send(n, http.MethodGet, "/look/x", key, time.Second, "").status != http.StatusOK {
+			for c.send(n, http.MethodGet, "/look/x", key, time.Second).status != http.StatusOK {
 				if time.Now().After(deadline) {
 					must(fmt.Errorf("key %d is not served through %s", key, n.name))
 				}
--- a/review/harness/foreign_heartbeat.go
+++ b/review/harness/foreign_heartbeat.go
@@ -24,7 +24,7 @@
 	callers.awaitServed(c.nodes, 15*time.Second)
 	time.Sleep(4 * time.Second)
 	stop := callers.load(c.nodes, 10*time.Millisecond, func(n *node, i int) {
-		callers.send(n, http.MethodGet, "/look/x", i*977%65536, time.Second, "")
+		callers.send(n, http.MethodGet, "/look/x", i*977%65536, time.Second)
 	})
 	time.Sleep(2 * time.Second)
 	if trouble {
--- a/review/harness/leave_after_crash.go
+++ b/review/harness/leave_after_crash.go
@@ -47,7 +47,7 @@
 		if i%20 < 9 {
 			key = hotKey
 		}
-		callers.send(n, http.MethodGet, "/look/x", key, time.Second, "")
+		callers.send(n, http.MethodGet, "/look/x", key, time.Second)
 	})
 	time.Sleep(3 * time.Second)
 	for round := range 5 {
--- a/review/harness/malformed_heartbeat.go
+++ b/review/harness/malformed_heartbeat.go
@@ -31,7 +31,7 @@
 	callers.awaitServed(c.nodes, 15*time.Second)
 	time.Sleep(4 * time.Second)
 	stop := callers.load(c.nodes, 20*time.Millisecond, func(n *node, i int) {
-		callers.send(n, http.MethodGet, "/look/x", i*977%65536, clientTimeout, "")
+		callers.send(n, http.MethodGet, "/look/x", i*977%65536, clientTimeout)
 	})
 	time.Sleep(3 * time.Second)
 	if trouble {
--- a/review/harness/status_zero.go
+++ b/review/harness/status_zero.go
@@ -46,7 +46,7 @@
 		if i%2 == 0 {
 			method, path = http.MethodPost, "/pay/x"
 		}
-		callers.send(n, method, path, -1, time.Second, "")
+		callers.send(n, method, path, -1, time.Second)
 	})
 	time.Sleep(12 * time.Second)
 	stop()
