node/ownership: a refused request does not release its slice

Cause: a request can reach its target ahead of the heartbeat response that grants the key, and is refused with 421. ReportKeyNotHeld then set lastGranted of the slice to zero. That ended requests for the slice, as intended, but lastGranted also tells from which time on a heartbeat can show that the target has released the slice. With zero, the heartbeat that the grant had answered, which does not list the slice, counted, and the slice went to the next owner as soon as it was to move.

Evidence: the log line of the refusal now says whether a heartbeat has come since the grant.

A refusal is now a mark of its own, so the order of heartbeat and grant is kept. The same cause on related paths: a refused slice was not claimed when the store returned from a copy; a copy of a heartbeat, and a delayed one at a restarted node, counted as later than the grant.

--- a/node/ownership/ownership_test.go
+++ b/node/ownership/ownership_test.go
@@ -110,6 +110,61 @@
 	}
 }
 
+// TestRefusalThatOvertookTheGrantDoesNotReleaseItsSlice guards against two holders of a slice: a request that
+// reaches the target ahead of the response that grants its key is refused, but the target then takes the grant.
+func TestRefusalThatOvertookTheGrantDoesNotReleaseItsSlice(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	node.ReportKeyNotHeld("i-1", 5, 3*holding.SliceKeys)
+	node.startMove(3)
+	node.now += second / 10
+	if n := node.releasedSlices(); n != 0 {
+		t.Fatalf("%d slices released by a refusal", n)
+	}
+	node.heartbeat(allKeys)
+	node.now += second / 10
+	if n := node.releasedSlices(); n != 0 {
+		t.Fatalf("%d slices released while the target reports them", n)
+	}
+}
+
+// TestRefusedSliceIsClaimedAfterARestoredStore guards against the same two holders by way of a returned store:
+// the claim on a granted slice must stand although a request for it has been refused.
+func TestRefusedSliceIsClaimedAfterARestoredStore(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	node.ReportKeyNotHeld("i-1", 5, 3*holding.SliceKeys)
+	node.recordClaims("s", node.now)
+	if n := len(node.restored["s"].claims); n != holding.SliceCount {
+		t.Errorf("%d slices claimed, want all %d", n, holding.SliceCount)
+	}
+}
+
+// TestCopyOfAHeartbeatDoesNotReleaseSlices guards against taking a second delivery of a heartbeat, which was sent
+// before the response to it, for a heartbeat that follows the grant.
+func TestCopyOfAHeartbeatDoesNotReleaseSlices(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	node.startMove(3)
+	node.now += second / 10
+	node.sequence--
+	node.heartbeat()
+	if n := node.releasedSlices(); n != 0 {
+		t.Errorf("%d slices released by a copy of the heartbeat that the grant answers", n)
+	}
+}
+
+// TestLateHeartbeatDoesNotReleaseGrantsOfAFormerProcess guards against a restarted node that takes a delayed
+// heartbeat for one that follows the last grant of the node's former process.
+func TestLateHeartbeatDoesNotReleaseGrantsOfAFormerProcess(t *testing.T) {
+	node := newTestNode(t)
+	node.startMove(3)
+	node.heartbeat()
+	if n := node.releasedSlices(); n != 0 {
+		t.Errorf("%d slices released by the first heartbeat after a restart", n)
+	}
+}
+
 // TestAdmitFollowsGrants checks which keyed requests are admitted before, between and after
 // heartbeats.
 func TestAdmitFollowsGrants(t *testing.T) {
--- a/node/ownership/simtarget_test.go
+++ b/node/ownership/simtarget_test.go
@@ -19,6 +19,9 @@
 	// freed holds the handover tokens of the slices released since the last heartbeat.
 	freed    map[int]string
 	draining bool
+	// late is a heartbeat that arrives at lateUntil, perhaps at a later process of the node; nil if there is none.
+	late      *holding.Report
+	lateUntil time.Duration
 }
 
 // simSlice is the state of a slice at a target.
@@ -40,6 +43,10 @@
 // heartbeat sends the target's heartbeat if it is due.
 func (n *simNode) heartbeat() {
 	sim, t := n.sim, n.target
+	if !n.gone && t != nil && t.late != nil && sim.now >= t.lateUntil && sim.now >= n.frozenUntil {
+		n.Heartbeat(*t.late)
+		t.late = nil
+	}
 	if n.gone || t == nil || sim.now < t.startsAt || sim.now < t.nextHeartbeat || sim.now < n.frozenUntil {
 		return
 	}
@@ -56,8 +63,19 @@
 	for i, token := range t.freed {
 		report.Freed = append(report.Freed, holding.Freed{From: i * holding.SliceKeys, To: (i+1)*holding.SliceKeys - 1, Handover: token})
 	}
+	if sim.chance(0.02) {
+		// The target takes no response that comes later than a second after its heartbeat.
+		t.late, t.lateUntil = &report, sim.now+second+sim.randomUpTo(3*second)
+		return
+	}
 	grants, hold := n.Heartbeat(report)
 	t.freed = make(map[int]string)
+	for _, g := range grants {
+		if !t.holdsSlice(holding.SliceOf(g.From), sim.now) && sim.chance(0.1) {
+			// A request overtakes the response.
+			n.ReportKeyNotHeld(t.id, t.born, g.From)
+		}
+	}
 	if hold > 0 {
 		t.applyGrants(sim, n.name, grants, hold)
 	}
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -9,9 +9,10 @@
 
 // targetProcess is one process of the local target, identified by the target's id and start time.
 type targetProcess struct {
-	// report is the latest heartbeat, which was received at heartbeatAt.
-	report      holding.Report
-	heartbeatAt time.Duration
+	// report is the latest heartbeat, which was received at heartbeatAt, and foundAt the time of the first one
+	// that this process of the node received.
+	report               holding.Report
+	heartbeatAt, foundAt time.Duration
 	// grantsUntil is when the last grant has surely expired on the target's clock.
 	grantsUntil time.Duration
 	// lastGranted is when a heartbeat response last granted the slice, and grantedSince when the
@@ -19,6 +20,9 @@
 	// response.
 	lastGranted, grantedSince [holding.SliceCount]time.Duration
 	lastResponse              time.Duration
+	// refused is set for a slice if the target has refused a request for it since the last response that
+	// granted it.
+	refused [holding.SliceCount]bool
 	// handovers holds the handover tokens of released slices by slice.
 	handovers map[int]string
 	// leavingSince is the time of the target's first heartbeat in state draining, of its leave call or
@@ -79,7 +83,7 @@
 func (o *Ownership) processOf(r holding.Report, now time.Duration) *targetProcess {
 	current := o.target
 	if current != nil && current.report.ID == r.ID && current.report.Born == r.Born {
-		if r.Sequence < current.report.Sequence {
+		if r.Sequence <= current.report.Sequence {
 			return nil
 		}
 		if current.ended {
@@ -104,7 +108,7 @@
 		o.formerTargets = append(o.formerTargets, current)
 	}
 	o.target = &targetProcess{
-		handovers: make(map[int]string), report: r, heartbeatAt: now,
+		handovers: make(map[int]string), report: r, heartbeatAt: now, foundAt: now,
 		// A former process of this node may have granted keys until its lease ended.
 		grantsUntil: o.started + holding.AddDrift(o.cfg.Timing.Lease),
 	}
@@ -181,7 +185,7 @@
 			if process.lastGranted[slice] != previousResponse || previousResponse == 0 {
 				process.grantedSince[slice] = now
 			}
-			process.lastGranted[slice] = now
+			process.lastGranted[slice], process.refused[slice] = now, false
 			delete(process.handovers, slice)
 		}
 	}
@@ -197,7 +201,9 @@
 
 // releasable returns the moving slices that the target has released, with their handover tokens.
 // Only a heartbeat received after the last response that granted the slice can show that the target
-// has released it: an earlier one was sent before the target took the slice.
+// has released it: an earlier one was sent before the target took the slice. Since a former process of the
+// node may have granted it, the first heartbeat that this process received shows nothing either: it may have been
+// delayed and older than that grant.
 func (o *Ownership) releasable(t *table, process *targetProcess, now time.Duration) map[int]string {
 	held := process.report.Held
 	if process.grantsLapsed(now) {
@@ -209,7 +215,7 @@
 		if !o.isCertain(t.Service, owner, slice) {
 			delete(released, slice)
 		}
-		if !process.grantsLapsed(now) && process.heartbeatAt <= process.lastGranted[slice] {
+		if !process.grantsLapsed(now) && process.heartbeatAt <= max(process.lastGranted[slice], process.foundAt) {
 			delete(released, slice)
 		}
 	}
--- a/node/ownership/view.go
+++ b/node/ownership/view.go
@@ -186,14 +186,16 @@
 	// A slice that is to move stays with the target until a heartbeat response no longer grants it.
 	// If a heartbeat has been received since the first response that granted the slice, that
 	// heartbeat must report the slice as held.
-	if process.lastGranted[slice] == 0 || process.lastGranted[slice] != process.lastResponse || process.heartbeatAt > process.grantedSince[slice] && !process.report.Holds(slice) {
+	isGranted := process.lastGranted[slice] != 0 && process.lastGranted[slice] == process.lastResponse
+	if !isGranted || process.refused[slice] || process.heartbeatAt > process.grantedSince[slice] && !process.report.Holds(slice) {
 		return outcome.ReasonMoving
 	}
 	return outcome.ReasonNone
 }
 
 // ReportKeyNotHeld records that the target process refused a request because it does not hold the
-// key. The slice counts as held again once a later heartbeat response has granted it.
+// key. The slice gets no requests until a later heartbeat response has granted it again. It does not count as
+// released: the request may have overtaken the response that grants the slice, which the target then takes.
 func (o *Ownership) ReportKeyNotHeld(id string, born int64, key int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -202,11 +204,18 @@
 		return
 	}
 	slice := holding.SliceOf(key)
-	if process.lastGranted[slice] != 0 {
+	if granted := process.lastGranted[slice]; granted != 0 && !process.refused[slice] {
 		o.cfg.Log.Warn("slice not held by its target", "target", id, "slice", slice,
-			"granted_ms_ago", (o.cfg.Clock() - process.lastGranted[slice]).Milliseconds())
+			"granted_ms_ago", (o.cfg.Clock() - granted).Milliseconds(),
+			"reported_since_grant", process.heartbeatAt > granted, "moving", o.isMoving(process.report.Service, slice))
 	}
-	process.lastGranted[slice] = 0
+	process.refused[slice] = true
+}
+
+// isMoving reports whether a slice is to move to another target. The caller holds the lock.
+func (o *Ownership) isMoving(service string, slice int) bool {
+	t := o.tables[service]
+	return t != nil && t.Slices[slice].Next >= 0
 }
 
 // LeaseLeft returns the remaining time of the node's lease.
