node/h1: an answer whose status HTTP does not define is no answer

Cause: http.ReadResponse takes any three characters that are a number for a status code (000, 099, +06, 999). The checks above know refusals and successes only, and package pipeline took status 0 for "not set" and sent 200.

An answer with a status outside 100 to 599 is now an error of a request that was sent, which ends its connection: the request may have run, and is sent again only if its kind allows that. Package pipeline keeps whether the status is set apart from its value, and aborts the connection at one that no final response has.

On the code before, TestAnswerWithAnInvalidStatusIsRejected: "status "000": got "no", <nil>", likewise for -00, 001, 099, +06, +20, 600 and 999; TestInvalidStatusAbortsTheConnection: "status 0: got 200 "no answer"".

--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -47,6 +47,8 @@
 	ErrBusy = errors.New("all connections to the address are in use")
 	// ErrHeadTooLarge reports an answer whose head exceeds maxHeadBytes.
 	ErrHeadTooLarge = errors.New("head of the answer is too large")
+	// ErrInvalidStatus reports an answer whose status code is outside the range of HTTP.
+	ErrInvalidStatus = errors.New("invalid status code")
 	// ErrMismatchedAnswer reports a connection that returned answers to other requests.
 	ErrMismatchedAnswer = errors.New("connection returned answers to other requests")
 )
@@ -148,6 +150,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
+		if !isValidStatus(response.StatusCode) {
+			return nil, errors.Wrapf(ErrInvalidStatus, "read answer: status %q", response.Status)
+		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
@@ -164,6 +169,10 @@
 	}
 }
 
+// isValidStatus reports whether HTTP defines the class of a status code (RFC 9110, section 15). http.ReadResponse
+// accepts any number of three characters, also 000 and +06. The rest of such an answer cannot be trusted.
+func isValidStatus(code int) bool { return code >= 100 && code <= 599 }
+
 // canReuse reports whether the connection can be reused after the answer, and sets the time
 // until which it may stay idle.
 func (c *conn) canReuse(response *http.Response) bool {
--- a/node/h1/h1_test.go
+++ b/node/h1/h1_test.go
@@ -187,3 +187,42 @@
 		t.Errorf("%d connections, want a new one after an early answer", dials)
 	}
 }
+
+// TestAnswerWithAnInvalidStatusIsRejected guards against answers with a malformed status line that reach the caller
+// as a success: http.ReadResponse reads 000 as status 0. The connection must not be used again.
+func TestAnswerWithAnInvalidStatusIsRejected(t *testing.T) {
+	for _, status := range []string{"000", "-00", "001", "099", "+06", "+20", "600", "999", "0200", "2000", "20", "2e2", ""} {
+		dials := 0
+		address := startServer(t, func(c net.Conn, r *bufio.Reader) {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+" \r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 2\r\n\r\nno")
+			_, _ = io.Copy(io.Discard, r)
+		})
+		p := newPool(&dials)
+		if got, err := get(t, p, address, "a"); err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("status %q: got %q, %v, want an error of a request that was sent", status, got, err)
+		}
+		if p.takeIdle(address) != nil {
+			t.Errorf("status %q: the connection is kept", status)
+		}
+	}
+}
+
+// TestInterimAnswerAsTheLastOneIsNoAnswer guards against taking a 1xx answer, after which the server closes the
+// connection, for the answer of the request.
+func TestInterimAnswerAsTheLastOneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"100 Continue", "101 Switching Protocols", "103 Early Hints", "199 x"} {
+		dials := 0
+		address := startServer(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nId: a\r\n\r\n")
+			}
+		})
+		if got, err := get(t, newPool(&dials), address, "a"); err == nil || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: got %q, %v, want an error of a request that was sent", status, got, err)
+		}
+	}
+}
--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -17,6 +17,9 @@
 // larger one is streamed.
 const maxBufferedBytes = 128 << 10
 
+// maxStatus is the highest status code that HTTP defines (RFC 9110, section 15).
+const maxStatus = 599
+
 // exchange is one request and its response. It implements http.ResponseWriter for the handler.
 type exchange struct {
 	connection *connection
@@ -28,12 +31,14 @@
 	// closeAfter is set when the connection is closed after the response.
 	closeAfter bool
 
-	header   http.Header
-	status   int
-	buffered bytes.Buffer
-	started  bool
-	chunked  bool
-	writeErr error
+	header http.Header
+	// status is the status of the response, valid once statusSet is set.
+	status    int
+	statusSet bool
+	buffered  bytes.Buffer
+	started   bool
+	chunked   bool
+	writeErr  error
 }
 
 // serve runs the handler and completes the response after the previous one has been written.
@@ -84,11 +89,15 @@
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header { return x.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. A status that no final response has aborts the connection.
 func (x *exchange) WriteHeader(status int) {
-	if x.status == 0 {
-		x.status = status
+	if x.statusSet {
+		return
+	}
+	if status < http.StatusOK || status > maxStatus {
+		panic(http.ErrAbortHandler)
 	}
+	x.status, x.statusSet = status, true
 }
 
 // Write implements http.ResponseWriter.
--- a/node/pipeline/pipeline_test.go
+++ b/node/pipeline/pipeline_test.go
@@ -229,3 +229,19 @@
 		}
 	}
 }
+
+// TestInvalidStatusAbortsTheConnection guards against a status of 0, which means "not set" nowhere else, that is
+// sent to the caller as 200.
+func TestInvalidStatusAbortsTheConnection(t *testing.T) {
+	for _, status := range []int{-1, 0, 6, 99, 100, 199, 600, 1000} {
+		_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "no answer")
+		})
+		c := dial(t, address)
+		c.send("/")
+		if response, text, err := c.readResponse(); err == nil {
+			t.Errorf("status %d: got %d %q, want no response", status, response.StatusCode, text)
+		}
+	}
+}
