node/ingress: a timeout of zero is not "no timeout"

A caller that says X-Timeout-Ms: 0 waits no longer, but its request was sent with the whole timeout of its route. Found as a related path of the status 000: zero stood for "not set" and can arrive from outside.

TestTimeoutOfZeroIsNotTheRoutesTimeout before: "the deadline is 1m0s after the arrival, want 0s". No caller was seen to send it.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -16,8 +16,9 @@
 type RequestMeta struct {
 	// ID identifies one attempt of the caller.
 	ID string
-	// Timeout is how long the caller waits for the answer; zero if not specified.
-	Timeout time.Duration
+	// Timeout is how long the caller waits for the answer, valid only if HasTimeout is set.
+	Timeout    time.Duration
+	HasTimeout bool
 	// Key is the key of the request, valid only if HasKey is set.
 	Key    int
 	HasKey bool
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -91,7 +91,7 @@
 	if route.Timeout > 0 {
 		timeout = route.Timeout
 	}
-	if meta.Timeout > 0 {
+	if meta.HasTimeout {
 		timeout = min(timeout, meta.Timeout)
 	}
 	for name := range r.Header {
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -27,7 +27,7 @@
 	if h.Get("Id") == "" {
 		return exchange.RequestMeta{}, exchange.ErrMalformed
 	}
-	return exchange.RequestMeta{ID: h.Get("Id"), Timeout: 400 * time.Millisecond, Key: 7, HasKey: true}, nil
+	return exchange.RequestMeta{ID: h.Get("Id"), Timeout: 400 * time.Millisecond, HasTimeout: true, Key: 7, HasKey: true}, nil
 }
 
 func (idCodec) EncodeDelivery(http.Header, exchange.Delivery) {}
@@ -67,6 +67,28 @@
 	return r
 }
 
+// TestTimeoutOfZeroIsNotTheRoutesTimeout guards against a request whose caller waits no longer, and which is sent
+// with the time of its route.
+func TestTimeoutOfZeroIsNotTheRoutesTimeout(t *testing.T) {
+	h := newHandler(t, nil, config())
+	route := &routing.Route{Timeout: time.Minute, Services: []routing.WeightedService{{Service: "s", Weight: 1}}}
+	r := httptest.NewRequest(http.MethodGet, "/any/1", nil)
+	for _, row := range []struct {
+		meta exchange.RequestMeta
+		want time.Duration
+	}{
+		{exchange.RequestMeta{HasTimeout: true}, 0},
+		{exchange.RequestMeta{HasTimeout: true, Timeout: time.Second}, time.Second},
+		{exchange.RequestMeta{HasTimeout: true, Timeout: time.Hour}, time.Minute},
+		{exchange.RequestMeta{}, time.Minute},
+	} {
+		arrived := time.Now()
+		if got := h.newRequest(r, row.meta, config(), route, nil, arrived).Deadline.Sub(arrived); got != row.want {
+			t.Errorf("%+v: the deadline is %v after the arrival, want %v", row.meta, got, row.want)
+		}
+	}
+}
+
 // TestOneAnswerForEachOutcome returns a sequence of outcomes for the sends of one request and
 // checks the response and the number of sends. A request that may have run must not be refused as
 // not run, and a non-idempotent one that may have run must not be sent again.
