node/hop: headers of a target do not replace those of the node

A response to another node carries the request's outcome in headers, and the headers of the target's answer were copied over them. A target that sends such a header, by a fault of its own, could make an answered request look like one that has not run. Found as a related path of the status 000.

TestTargetsHeadersDoNotReplaceThoseOfTheNode before: "outcome not-run, target "i-2"". No target was seen to send them.

--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -264,6 +264,8 @@
 	h.Set(headerTarget, result.Target)
 	writeState(h, result.State)
 	if result.Outcome == outcome.Answered {
+		// WriteResponse copies the target's headers over those set above.
+		stripHopHeaders(result.Answer.Header)
 		result.Answer.WriteResponse(w, method)
 		return
 	}
