node/ownership: only heartbeats of the local target end its process

Cause: any heartbeat with a later start time replaced the node's target, and one with its address proved that it had ended. Nothing was compared with the service and the address that the node's settings name, and nothing brought the right target back.

The test plays each field alone.

A heartbeat counts only if it names the service and the address of the settings; the template has target.address for that. A start time ahead of the node's clock proves no end, so the former target's grants have to lapse. If the present target is silent for as long as it may be, an earlier start time is taken again. The same cause on related paths: the target of an entry in the store is checked too; leave calls were sound.

On the code before, TestForeignHeartbeatDoesNotEndTheTarget fails in all 8 rows: "service that nobody knows: the target counts as ended", "... gets no grants any more"; TestTargetThatStartsWithTheClockPutBackIsFound: the target is not found; TestEntryOfAnotherWriterNamesNoTarget needs the new checks and was not run without them.

--- a/node/ownership/entry.go
+++ b/node/ownership/entry.go
@@ -86,12 +86,19 @@
 	if err := json.Unmarshal(o.Value, &e); err != nil {
 		return nil, errors.Wrapf(err, "decode node entry %q", o.Key)
 	}
-	if NodesPrefix+e.Name != o.Key || e.Address == "" || e.LeaseMillis <= 0 {
+	if NodesPrefix+e.Name != o.Key || e.Address == "" || e.LeaseMillis <= 0 || e.LeaseMillis > maxLease.Milliseconds() {
 		return nil, errors.Newf("invalid node entry %q: name %q, address %q, lease of %d ms", o.Key, e.Name, e.Address, e.LeaseMillis)
 	}
+	if t := e.Target; t != nil && (t.ID == "" || t.Service == "" || t.Slots < 1 || t.Slots > holding.MaxSlots) {
+		return nil, errors.Newf("invalid node entry %q: target %q of service %q with %d slots", o.Key, t.ID, t.Service, t.Slots)
+	}
 	return &e, nil
 }
 
+// maxLease is the longest lease that an entry may name. Leases take a few seconds; a longer one is a mistake of the
+// writer that would keep the node's keys from the others.
+const maxLease = time.Minute
+
 // peer is the last known entry of a node, this one included.
 type peer struct {
 	entry   *Entry
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -114,8 +114,11 @@
 // Config holds the settings and dependencies of an Ownership.
 type Config struct {
 	// Self is the node's initial entry, without a target.
-	Self   Entry
-	Timing Timing
+	Self Entry
+	// Service is the service of the local target, and TargetAddress its address; the address is empty if it is not
+	// known. Heartbeats that name others are ignored.
+	Service, TargetAddress string
+	Timing                 Timing
 	// Clock returns the time of a clock that goes on while the machine sleeps.
 	Clock func() time.Duration
 	// IsKeyed reports whether a service is keyed; false while that is not known.
@@ -154,7 +157,7 @@
 	target *targetProcess
 	// leaveNotices holds the calls of Leave by targets without a report, by target id.
 	leaveNotices map[string]leaveNotice
-	// formerTargets are earlier processes of the local target whose grants may not have lapsed.
+	// formerTargets are other processes of the local target whose grants may not have lapsed.
 	formerTargets []*targetProcess
 	// planNeededSince is when a table was first seen to need a change that any node may make, by
 	// service.
--- a/node/ownership/ownership_test.go
+++ b/node/ownership/ownership_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/quarantine"
+	"github.com/auburnrelay/auburnrelay/objects"
 )
 
 const second = time.Second
@@ -34,6 +36,7 @@
 	node := &testNode{now: 100 * second, owner: holding.Owner{Node: "vm-1", Target: "i-1", Born: 5}}
 	node.Ownership = New(Config{
 		Self:          Entry{Name: "vm-1", Address: "a", LeaseMillis: 4000},
+		Service:       "s",
 		Timing:        Timing{Lease: 4 * second, HoldMax: 10 * second, TargetTimeout: 6 * second, DrainGrace: 1600 * time.Millisecond},
 		Clock:         func() time.Duration { return node.now },
 		IsKeyed:       func(string) bool { return true },
@@ -229,6 +232,112 @@
 	}
 }
 
+// TestForeignHeartbeatDoesNotEndTheTarget guards against another process that takes the target's place with one
+// heartbeat, so that the target's keys get a second holder and its own heartbeats are ignored.
+func TestForeignHeartbeatDoesNotEndTheTarget(t *testing.T) {
+	const now = 5 + 1_000_000
+	ahead := time.Now().Add(time.Hour).UnixMilli()
+	for _, row := range []struct {
+		name   string
+		report holding.Report
+	}{
+		{"service that nobody knows", holding.Report{ID: "i-f", Address: "x", Service: "unnamed", Born: now}},
+		{"another service of the configuration", holding.Report{ID: "i-f", Address: "x", Service: "shared", Born: now}},
+		{"another service under the target's id", holding.Report{ID: "i-1", Address: "x", Service: "shared", Born: now}},
+		{"another address", holding.Report{ID: "i-f", Address: "y", Service: "s", Born: now}},
+		{"another address under the target's id", holding.Report{ID: "i-1", Address: "y", Service: "s", Born: now}},
+		{"another address of the same process", holding.Report{ID: "i-1", Address: "y", Service: "s", Born: 5}},
+		{"start time far ahead", holding.Report{ID: "i-f", Address: "x", Service: "s", Born: ahead}},
+		{"start time far ahead under the target's id", holding.Report{ID: "i-1", Address: "x", Service: "s", Born: ahead}},
+	} {
+		node := newTestNode(t)
+		node.cfg.TargetAddress = "x"
+		node.heartbeat()
+		node.heartbeat(allKeys)
+		row.report.Slots, row.report.Sequence = 6, 100
+		node.Heartbeat(row.report)
+		if node.hasEnded(node.owner, node.now) || node.haveFormerTargetsEnded() && node.target.report.Born > 5 {
+			t.Errorf("%s: the target counts as ended", row.name)
+		}
+		// The target takes its place again, at the latest once the other one has been silent for TargetTimeout.
+		for range 8 {
+			node.now += second
+			node.renewLease()
+			node.heartbeat(allKeys)
+		}
+		if grants := node.heartbeat(allKeys); len(grants) == 0 {
+			t.Errorf("%s: the target gets no grants any more", row.name)
+		}
+		if n := len(node.formerTargets); n > 1 || node.target.owner("vm-1") != node.owner {
+			t.Errorf("%s: target %+v, %d former ones", row.name, node.target.report, n)
+		}
+	}
+}
+
+// TestEntryOfAnotherWriterNamesNoTarget guards against an entry in the store with a field that is missing or out of
+// range, which must not name a target or keep a lease.
+func TestEntryOfAnotherWriterNamesNoTarget(t *testing.T) {
+	const valid = `{"name":"vm-2","address":"a","lease_ms":4000,"target":{"id":"i-2","born":6,"service":"s","slots":6}}`
+	decode := func(text string) error {
+		_, err := decodeEntry(objects.Object{Key: NodesPrefix + "vm-2", Value: []byte(text)})
+		return err
+	}
+	if err := decode(valid); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range []struct{ from, to string }{
+		{`"id":"i-2"`, `"id":""`}, {`"service":"s"`, `"service":""`}, {`,"service":"s"`, ``},
+		{`"slots":6`, `"slots":0`}, {`"slots":6`, `"slots":-6`}, {`"slots":6`, `"slots":9e17`}, {`"slots":6`, `"slots":1e300`},
+		{`"born":6`, `"born":"6"`}, {`"lease_ms":4000`, `"lease_ms":9223372036854775807`}, {`"lease_ms":4000`, `"lease_ms":-1`},
+		{`"name":"vm-2"`, `"name":"vm-3"`}, {`{"id"`, `[{"id"`},
+	} {
+		if text := strings.Replace(valid, row.from, row.to, 1); text == valid || decode(text) == nil {
+			t.Errorf("%s is accepted", text)
+		}
+	}
+}
+
+// TestForeignLeaveDoesNotEndTheTarget guards against a leave call of another process that stops the target's grants.
+func TestForeignLeaveDoesNotEndTheTarget(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	node.Leave("i-f", 0)
+	node.Leave("i-1", 4)
+	node.Leave("i-1", time.Now().Add(time.Hour).UnixMilli())
+	if grants := node.heartbeat(allKeys); len(grants) == 0 {
+		t.Error("the target gets no grants any more")
+	}
+}
+
+// TestLateHeartbeatDoesNotBringAFormerTargetBack guards against the opposite fault: a delayed heartbeat of a target
+// that has ended must not take the place of the one that runs.
+func TestLateHeartbeatDoesNotBringAFormerTargetBack(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	later := holding.Report{ID: "i-9", Address: "x", Service: "s", Slots: 6, Sequence: 1, Born: 9}
+	node.Heartbeat(later)
+	node.now += 5 * second
+	later.Sequence++
+	node.Heartbeat(later)
+	node.heartbeat(allKeys)
+	if node.target.report.ID != "i-9" || !node.formerTargets[0].ended {
+		t.Errorf("the target is %s, the former one has ended: %v", node.target.report.ID, node.formerTargets[0].ended)
+	}
+}
+
+// TestTargetThatStartsWithTheClockPutBackIsFound guards against ignoring a target for good because its start time is
+// before that of the former process.
+func TestTargetThatStartsWithTheClockPutBackIsFound(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	node.now += 7 * second
+	node.renewLease()
+	node.Heartbeat(holding.Report{ID: "i-2", Address: "x", Service: "s", Slots: 6, Sequence: 1, Born: 3})
+	if node.target.report.ID != "i-2" || node.formerTargets[0].ended {
+		t.Errorf("the target is %s, the former one has ended: %v", node.target.report.ID, node.formerTargets[0].ended)
+	}
+}
+
 // TestRestartedNodeKnowsFormerGrants restarts a node whose target holds keys granted by the node's
 // former process: they must not count as released before the target reports so.
 func TestRestartedNodeKnowsFormerGrants(t *testing.T) {
--- a/node/ownership/reconcile.go
+++ b/node/ownership/reconcile.go
@@ -247,7 +247,7 @@
 	}
 	// A node has one local target at a time: a report of a later target process proves that an
 	// earlier one has ended, even if only a former process of this node knew it.
-	if process := o.target; process != nil && process.report.Born > owner.Born {
+	if process := o.target; process != nil && process.report.Born > owner.Born && process.provesEarlierEnded() {
 		return true
 	}
 	// Only a former process of this node knew this target process: its grants lapsed with the
--- a/node/ownership/scale_test.go
+++ b/node/ownership/scale_test.go
@@ -69,7 +69,7 @@
 func (f *fleet) newObserver(node int, clock func() time.Duration) *Ownership {
 	self := f.entries[node]
 	o := New(Config{
-		Self: self, Clock: clock, IsKeyed: func(s string) bool { return s == "k" }, Monitor: steadyLoad{load: self.Target.Load},
+		Self: self, Service: self.Target.Service, Clock: clock, IsKeyed: func(s string) bool { return s == "k" }, Monitor: steadyLoad{load: self.Target.Load},
 		Timing: Timing{
 			Lease: 2800 * time.Millisecond, RenewInterval: 800 * time.Millisecond, EntryReadInterval: 800 * time.Millisecond,
 			ReconcileInterval: 200 * time.Millisecond, RankDelay: 400 * time.Millisecond, SettleTime: 2500 * time.Millisecond,
--- a/node/ownership/simulation_test.go
+++ b/node/ownership/simulation_test.go
@@ -111,6 +111,7 @@
 			Name: n.name, Incarnation: strconv.FormatInt(int64(n.sim.now), 36), Address: n.name,
 			FailureDomain: "d" + n.name[len(n.name)-1:], LeaseMillis: 4000,
 		},
+		Service: simService,
 		Timing: Timing{
 			Lease: 4 * second, RenewInterval: 1200 * time.Millisecond, EntryReadInterval: second, ReconcileInterval: 200 * time.Millisecond,
 			RankDelay: 400 * time.Millisecond, InitialAssignDelay: second, SettleTime: 2 * second, HoldMax: 10 * second, TargetTimeout: 4 * second,
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -34,12 +34,23 @@
 	left bool
 	// ended is set once the target's process is known to have ended.
 	ended bool
+	// startsInFuture is set if the first report named a start time ahead of this node's clock.
+	startsInFuture bool
 }
 
 func (p *targetProcess) owner(node string) holding.Owner {
 	return holding.Owner{Node: node, Target: p.report.ID, Born: p.report.Born}
 }
 
+// isSender reports whether the process sent the report.
+func (p *targetProcess) isSender(r holding.Report) bool {
+	return p.report.ID == r.ID && p.report.Born == r.Born
+}
+
+// provesEarlierEnded reports whether the reports of the process prove that those with an earlier start time have
+// ended. They do not if its own start time is wrong; the grants of the others then have to lapse.
+func (p *targetProcess) provesEarlierEnded() bool { return !p.startsInFuture }
+
 func (p *targetProcess) isLeaving() bool { return p.left || p.answeredLeaving || p.report.Draining }
 
 // isAbsent reports whether the target has ended or sent no heartbeat for longer than silence.
@@ -52,11 +63,16 @@
 
 // Heartbeat handles a heartbeat of the local target. It returns the ranges that the target is to
 // hold, and for how long, counted from when the target sent the heartbeat. It returns no grants for
-// a heartbeat of an earlier process or one that arrives out of order.
+// a heartbeat of an earlier process, one that arrives out of order, or one that is not of the local target.
 func (o *Ownership) Heartbeat(r holding.Report) ([]holding.Grant, time.Duration) {
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.isOfLocalTarget(r) {
+		o.cfg.Log.Warn("heartbeat ignored", "target", r.ID, "born", r.Born, "service", r.Service, "address", r.Address,
+			"reason", "another service or address than the local target's")
+		return nil, 0
+	}
 	process := o.processOf(r, now)
 	if process == nil {
 		o.cfg.Log.Info("heartbeat ignored", "target", r.ID, "born", r.Born, "sequence", r.Sequence, "reason", "earlier process or out of order")
@@ -78,12 +94,20 @@
 	return grants, hold
 }
 
+// isOfLocalTarget reports whether a heartbeat can be of the local target: any process may send one to the node.
+func (o *Ownership) isOfLocalTarget(r holding.Report) bool {
+	return r.Service == o.cfg.Service && (o.cfg.TargetAddress == "" || r.Address == o.cfg.TargetAddress)
+}
+
 // processOf returns the target process that sent the report, or nil if the report is of an earlier
 // process or out of order. A report of a later process ends the present one.
+//
+// A report of an earlier process is usually a delayed one. If the present process is silent, however, the report
+// may have been wrong that named it, or the clock was put back between the two starts.
 func (o *Ownership) processOf(r holding.Report, now time.Duration) *targetProcess {
 	current := o.target
-	if current != nil && current.report.ID == r.ID && current.report.Born == r.Born {
-		if r.Sequence <= current.report.Sequence {
+	if current != nil && current.isSender(r) {
+		if r.Sequence <= current.report.Sequence || r.Address != current.report.Address {
 			return nil
 		}
 		if current.ended {
@@ -92,13 +116,24 @@
 		}
 		return current
 	}
-	if current != nil && r.Born < current.report.Born {
+	isEarlier := current != nil && r.Born < current.report.Born
+	if isEarlier && !current.isAbsent(now, o.cfg.Timing.TargetTimeout) {
+		return nil
+	}
+	known := slices.IndexFunc(o.formerTargets, func(p *targetProcess) bool { return p.isSender(r) })
+	if known >= 0 && r.Sequence <= o.formerTargets[known].report.Sequence {
 		return nil
 	}
+	process := o.newTargetProcess(r, now)
+	if known >= 0 {
+		process = o.formerTargets[known]
+		process.ended = false
+		o.formerTargets = slices.Delete(o.formerTargets, known, known+1)
+	}
 	if current != nil {
 		// The same target started again, or another one uses its address: the former process has
 		// ended.
-		ended := current.report.ID == r.ID || current.report.Address == r.Address
+		ended := (current.report.ID == r.ID || current.report.Address == r.Address) && process.provesEarlierEnded() && !isEarlier
 		if ended && !current.ended {
 			current.ended = true
 			if !current.isLeaving() {
@@ -107,28 +142,43 @@
 		}
 		o.formerTargets = append(o.formerTargets, current)
 	}
-	o.target = &targetProcess{
+	if !process.left && o.hasAnnouncedLeave(r) {
+		process.left, process.leavingSince = true, now
+		o.cfg.Log.Info("first heartbeat of a target that has already left", "target", r.ID, "born", r.Born)
+	}
+	o.target = process
+	o.cfg.Log.Info("target found", "target", r.ID, "born", r.Born, "service", r.Service, "address", r.Address, "slots", r.Slots,
+		"known", known >= 0, "earlier_start", isEarlier, "starts_in_future", process.startsInFuture)
+	o.rebuildView(now)
+	notify(o.renewSoon)
+	return process
+}
+
+// maxClockDifference is how far the start time of a target may be ahead of this node's clock. Both are on one VM and
+// read the same clock, but a target may round up.
+const maxClockDifference = time.Second
+
+// newTargetProcess returns the target process of a first report.
+func (o *Ownership) newTargetProcess(r holding.Report, now time.Duration) *targetProcess {
+	process := &targetProcess{
 		handovers: make(map[int]string), report: r, heartbeatAt: now, foundAt: now,
 		// A former process of this node may have granted keys until its lease ended.
-		grantsUntil: o.started + holding.AddDrift(o.cfg.Timing.Lease),
+		grantsUntil:    o.started + holding.AddDrift(o.cfg.Timing.Lease),
+		startsInFuture: r.Born > time.Now().Add(maxClockDifference).UnixMilli(),
 	}
 	if r.Draining {
-		o.target.leavingSince = now
-	}
-	if o.hasAnnouncedLeave(r) {
-		o.target.left, o.target.leavingSince = true, now
-		o.cfg.Log.Info("first heartbeat of a target that has already left", "target", r.ID, "born", r.Born)
+		process.leavingSince = now
 	}
-	o.cfg.Log.Info("target found", "target", r.ID, "born", r.Born, "service", r.Service, "address", r.Address, "slots", r.Slots)
-	o.rebuildView(now)
-	notify(o.renewSoon)
-	return o.target
+	return process
 }
 
 // haveFormerTargetsEnded reports whether the processes of all earlier targets of this node have ended. Those that
 // only a former process of the node knew ended before the present target began to report, since a node has one
 // local target at a time. The caller holds the lock.
 func (o *Ownership) haveFormerTargetsEnded() bool {
+	if o.target != nil && !o.target.provesEarlierEnded() {
+		return false
+	}
 	return !slices.ContainsFunc(o.formerTargets, func(p *targetProcess) bool { return !p.ended })
 }
 
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -178,6 +178,8 @@
 			Name: s.Node.Name, Incarnation: ulid.Make().String(), Address: s.Listen.Peers,
 			Region: s.Node.Region, FailureDomain: s.Node.FailureDomain, LeaseMillis: d.leaseDuration().Milliseconds(),
 		},
+		Service:       s.Node.Service,
+		TargetAddress: s.Target.Address,
 		Timing:        d.timing(),
 		Clock:         bootclock.Now,
 		IsKeyed:       d.config.isKeyed,
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -47,6 +47,9 @@
 		Encoding body.Encoding `toml:"encoding" validate:"omitempty,oneof=json cbor"`
 	} `toml:"store"`
 	Target struct {
+		// Address is the address of the target on this VM; heartbeats that name another one are ignored. If it
+		// is empty, any address is accepted.
+		Address string `toml:"address" validate:"omitempty,hostname_port"`
 		// HeartbeatSeconds is the approximate interval between heartbeats of the target.
 		HeartbeatSeconds Seconds `toml:"heartbeat_seconds" validate:"gt=0"`
 	} `toml:"target"`
--- a/node/sidecar/sidecar_test.go
+++ b/node/sidecar/sidecar_test.go
@@ -55,7 +55,7 @@
 		filled = strings.ReplaceAll(filled, "{{"+name+"}}", fmt.Sprintf("10.1.0.38:%d", 8140+i))
 	}
 	for name, value := range map[string]string{
-		"node": "sidecar-debrecen-1", "region": "alfold", "zone": "debrecen", "service": "huvo11a", "ip": "10.1.0.38",
+		"node": "sidecar-debrecen-1", "app-addr": "10.1.0.38:8145", "region": "alfold", "zone": "debrecen", "service": "huvo11a", "ip": "10.1.0.38",
 		"internal-ports.0": "7380", "limits.memory-mb": "284", "heartbeat-s": "0.87", "bounds.drain-s": "2", "bounds.grace-s": "6",
 		"bounds.hold-max-s": "10", "bounds.retry-ratio": "0.2", "bounds.retry-slack": "58", "bounds.retry-window-s": "10",
 	} {
