--- a/core/holding/grants.go
+++ b/core/holding/grants.go
@@ -43,6 +43,16 @@
 	Handover string
 }
 
+// Slices returns the slices that the range covers whole, from the first one up to, but without, end. Keys outside the
+// key space are left out.
+func (f Freed) Slices() (first, end int) {
+	from, to := max(f.From, 0), min(f.To, KeyMax)
+	if from > to {
+		return 0, 0
+	}
+	return (from + SliceKeys - 1) / SliceKeys, (to + 1) / SliceKeys
+}
+
 // Grant is a range of keys that a target is to hold, both bounds inclusive.
 type Grant struct {
 	From, To int
--- a/core/holding/holding_test.go
+++ b/core/holding/holding_test.go
@@ -1,6 +1,8 @@
 package holding
 
 import (
+	"encoding/json"
+	"math"
 	"testing"
 	"time"
 
@@ -309,3 +311,41 @@
 		}
 	}
 }
+
+// TestRunsBeyondTheLastSliceAreMalformed guards against a table whose counts overflow and end the process.
+func TestRunsBeyondTheLastSliceAreMalformed(t *testing.T) {
+	for _, counts := range [][]int{{1025}, {1, math.MaxInt}, {1023, math.MaxInt - 1022}, {-1}, {0}, {math.MinInt}, {1023}} {
+		r := record{Service: "s"}
+		for _, n := range counts {
+			r.Runs = append(r.Runs, run{Count: n, Owner: -1, Next: -1})
+		}
+		encoded, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(compress(encoded)); !errors.Is(err, ErrTable) {
+			t.Errorf("runs of %v slices: %v", counts, err)
+		}
+	}
+}
+
+// FuzzDecode looks for a table that panics when it is decoded or planned with.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"service":"s","fence":1,"owners":[{"node":"n","target":"t","born":5}],"runs":[{"n":1,"o":0,"f":1,"x":0},{"n":1023,"o":-1,"f":0,"x":-1}]}`))
+	f.Add([]byte(`{"service":"s","runs":[{"n":1,"o":-1,"x":-1},{"n":9223372036854775807,"o":-1,"x":-1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		table, err := Decode(compress(data))
+		if err != nil {
+			return
+		}
+		owner := Owner{Node: "n", Target: "t", Born: 5}
+		candidates := []Candidate{{Owner: owner}, {Owner: Owner{Node: "m", Target: "u", Born: 6}, Leaving: true}}
+		table.Assign(candidates)
+		table.Evacuate(candidates)
+		table.Move(candidates, true)
+		table.RemoveOwner(owner)
+		if _, err := table.Encode(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/core/holding/table.go
+++ b/core/holding/table.go
@@ -253,7 +253,7 @@
 	t := &Table{Service: r.Service, Fence: r.Fence, Owners: r.Owners, Gone: r.Gone, Era: r.Era, EraFence: r.EraFence, Reported: r.Reported}
 	at := 0
 	for _, run := range r.Runs {
-		bad := run.Count < 1 || at+run.Count > SliceCount || run.Owner < -1 || run.Owner >= len(r.Owners) ||
+		bad := run.Count < 1 || run.Count > SliceCount-at || run.Owner < -1 || run.Owner >= len(r.Owners) ||
 			run.Next < -1 || run.Next >= len(r.Owners) || run.Fence > r.Fence
 		if bad {
 			return nil, errors.Wrapf(ErrTable, "invalid run at slice %d", at)
--- a/node/feed/protocol.go
+++ b/node/feed/protocol.go
@@ -21,6 +21,8 @@
 	// answerMargin is the time allowed for the answer after the hold. Nodes of a region are a few
 	// milliseconds apart, but a node may be busy.
 	answerMargin = 250 * time.Millisecond
+	// maxAge is the greatest age of a state that is told apart; far older states are left all the same.
+	maxAge = time.Hour
 	// receivePatience is added to a node's patience while its source receives a response: the node
 	// would have to receive the same.
 	receivePatience = time.Second
@@ -67,7 +69,7 @@
 	now := f.cfg.Clock()
 	for prefix, n := range answer.Prefixes {
 		if f.replicas[prefix] != nil {
-			age := time.Duration(n.AgeMillis) * time.Millisecond
+			age := time.Duration(max(0, min(n.AgeMillis, maxAge.Milliseconds()))) * time.Millisecond
 			f.apply(prefix, update{objects: n.Objects, next: n.Next, confirmedAt: now - age})
 		}
 	}
--- a/node/ownership/ownership.go
+++ b/node/ownership/ownership.go
@@ -140,6 +140,8 @@
 	reconcileSoon chan struct{}
 	renewSoon     chan struct{}
 	view          atomic.Pointer[View]
+	// checkedAt is when checkLoop last held the lock, by cfg.Clock.
+	checkedAt atomic.Int64
 
 	mu    sync.Mutex
 	lease holding.Lease
@@ -218,19 +220,43 @@
 		started:              cfg.Clock(),
 	}
 	o.view.Store(&View{services: map[string]*serviceView{}})
+	o.checkedAt.Store(int64(o.started))
 	return o
 }
 
 // Run runs the protocol until the context ends, and returns the context's error.
 func (o *Ownership) Run(ctx context.Context) error {
 	var group sync.WaitGroup
-	for _, loop := range []func(context.Context){o.renewLoop, o.extendLoop, o.readEntriesLoop, o.watchLoop, o.reconcileLoop} {
+	for _, loop := range []func(context.Context){o.renewLoop, o.extendLoop, o.readEntriesLoop, o.watchLoop, o.reconcileLoop, o.checkLoop} {
 		group.Go(func() { loop(ctx) })
 	}
 	group.Wait()
 	return ctx.Err()
 }
 
+const (
+	// checkInterval is the interval at which checkLoop takes the lock.
+	checkInterval = 250 * time.Millisecond
+	// stuckAfter is how long the lock may be held before IsStuck reports it. The longest work under it, on the
+	// tables of a large fleet, takes some milliseconds, on a slowed VM some hundred.
+	stuckAfter = 3 * time.Second
+)
+
+// checkLoop takes the lock regularly until the context ends.
+func (o *Ownership) checkLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.LeaseLeft()
+		o.checkedAt.Store(int64(o.cfg.Clock()))
+		wait(ctx, checkInterval, nil)
+	}
+}
+
+// IsStuck reports whether no call has been able to take the lock for several seconds, so that neither requests nor
+// heartbeats are served. It does not take the lock.
+func (o *Ownership) IsStuck() bool {
+	return o.cfg.Clock()-time.Duration(o.checkedAt.Load()) > stuckAfter
+}
+
 // SetMonitor sets Config.Monitor. It must be called before Run.
 func (o *Ownership) SetMonitor(m TargetMonitor) { o.cfg.Monitor = m }
 
--- a/node/ownership/ownership_test.go
+++ b/node/ownership/ownership_test.go
@@ -1,8 +1,11 @@
 package ownership
 
 import (
+	"context"
 	"log/slog"
+	"math"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -274,6 +277,69 @@
 	}
 }
 
+// TestRangesOutsideTheKeySpaceDoNotHoldTheLock guards against a heartbeat that makes the node loop over a range of any
+// length with its lock held. The requests and heartbeats that follow must be served.
+func TestRangesOutsideTheKeySpaceDoNotHoldTheLock(t *testing.T) {
+	node := newTestNode(t)
+	node.heartbeat()
+	report := holding.Report{ID: "i-1", Address: "x", Service: "s", Slots: 6, Sequence: 2, Born: 5, Held: []holding.Held{allKeys}}
+	for _, bound := range []int{math.MinInt, -65536, -1, 65536, math.MaxInt} {
+		report.Freed = append(report.Freed, holding.Freed{From: bound, To: 63, Handover: "x"}, holding.Freed{From: 64, To: bound, Handover: "y"})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		node.Heartbeat(report)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the heartbeat is not answered")
+	}
+	if _, reason := node.Admit("s", true, 9*holding.SliceKeys); reason != outcome.ReasonNone {
+		t.Errorf("a request after it is refused: %s", reason)
+	}
+}
+
+// TestStuckLockIsReported guards against a node that says that it is ready while nothing that needs the lock goes on.
+func TestStuckLockIsReported(t *testing.T) {
+	now := atomic.Int64{}
+	now.Store(int64(100 * second))
+	o := New(Config{Clock: func() time.Duration { return time.Duration(now.Load()) }, Log: slog.New(slog.DiscardHandler)}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	o.mu.Lock()
+	go o.checkLoop(ctx)
+	now.Add(int64(2 * second))
+	if o.IsStuck() {
+		t.Error("stuck after 2 s")
+	}
+	now.Add(int64(2 * second))
+	if !o.IsStuck() {
+		t.Error("not stuck after 4 s")
+	}
+	o.mu.Unlock()
+	for deadline := time.Now().Add(5 * time.Second); o.IsStuck(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("still stuck after the lock has been released")
+		}
+	}
+}
+
+// FuzzStoreObjects looks for an entry or a table that panics or hangs the node that reads it.
+func FuzzStoreObjects(f *testing.F) {
+	f.Add([]byte(`{"name":"vm-2","address":"a","lease_ms":4000,"target":{"id":"i-2","born":6,"service":"s","slots":6,"load":{"hot":{"-1":1e300}}},"voters":["vm-1"]}`))
+	f.Add([]byte(`{"name":"vm-2","address":"a","lease_ms":9223372036854775807,"renewal":-1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		node := newTestNode(t)
+		node.heartbeat()
+		node.observeEntries(objects.Listing{Version: 9, Objects: []objects.Object{{Key: NodesPrefix + "vm-2", Value: data, Version: 8}}})
+		node.observeTable(objects.Object{Key: TablesPrefix + "s", Value: data, Version: 10})
+		node.plan("s")
+		node.heartbeat(allKeys)
+	})
+}
+
 // TestEntryOfAnotherWriterNamesNoTarget guards against an entry in the store with a field that is missing or out of
 // range, which must not name a target or keep a lease.
 func TestEntryOfAnotherWriterNamesNoTarget(t *testing.T) {
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -206,10 +206,9 @@
 // recordHandovers records the handover tokens of the slices that the released ranges cover whole.
 func (p *targetProcess) recordHandovers(freed []holding.Freed) {
 	for _, f := range freed {
-		for slice := holding.SliceOf(f.From); slice < holding.SliceCount && (slice+1)*holding.SliceKeys-1 <= f.To; slice++ {
-			if slice*holding.SliceKeys >= f.From {
-				p.handovers[slice] = f.Handover
-			}
+		first, end := f.Slices()
+		for slice := first; slice < end; slice++ {
+			p.handovers[slice] = f.Handover
 		}
 	}
 }
--- a/node/sidecar/servers.go
+++ b/node/sidecar/servers.go
@@ -97,6 +97,10 @@
 			return c.String(http.StatusServiceUnavailable, "stopping\n")
 		default:
 		}
+		if d.ownership.IsStuck() {
+			d.log.Error("not ready: the ownership of keys does not respond")
+			return c.String(http.StatusServiceUnavailable, "ownership does not respond\n")
+		}
 		if d.config.current() == nil {
 			return c.String(http.StatusServiceUnavailable, "no configuration\n")
 		}
