node/ingress: an unconfirmed configuration does not deny a route

Cause: a node denied a route by the configuration in force, however long its state had not been confirmed and whether or not a later version was being decoded. Callers do not repeat a 404.

An unknown route is now refused with 503, which is true and repeated, unless no received version waits to be decoded and the store was known to hold no later one 2.5 s ago or less. That time counts from the beginning of a response, since what is written while it arrives is not in it.

--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -71,6 +71,11 @@
 	known       bool
 	next        objects.Version
 	confirmedAt time.Duration
+	// currentAt is the latest time at which the state is known to have been that of the store: when the response
+	// that confirmed it began. It is before confirmedAt by the time that the responses took to arrive.
+	currentAt time.Duration
+	// changedAt is when the latest change was received.
+	changedAt time.Duration
 }
 
 // New returns a Feed that knows nothing until Run is called.
@@ -150,6 +155,7 @@
 	objects     []packedObject
 	next        objects.Version
 	confirmedAt time.Duration
+	currentAt   time.Duration
 }
 
 // apply records an update and wakes those that wait for a change.
@@ -157,6 +163,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.replicas[prefix]
+	if len(u.objects) > 0 {
+		r.changedAt = f.cfg.Clock()
+	}
 	for _, o := range u.objects {
 		if o.Version > r.objects[o.Key].Version {
 			r.objects[o.Key] = o
@@ -164,6 +173,7 @@
 		r.next = max(r.next, o.Version)
 	}
 	r.known, r.next, r.confirmedAt = true, max(r.next, u.next), max(r.confirmedAt, u.confirmedAt)
+	r.currentAt = max(r.currentAt, u.currentAt)
 	f.wake()
 }
 
@@ -191,6 +201,27 @@
 	return oldest, known
 }
 
+// State tells how current the objects below a prefix are.
+type State struct {
+	// Version is the latest version of the objects; zero if there is none.
+	Version objects.Version
+	// CurrentAt is the latest time at which they are known to have been those of the store, and ChangedAt when the
+	// last change was received, both on the feed's clock.
+	CurrentAt, ChangedAt time.Duration
+}
+
+// State returns the state of the objects below one of the feed's prefixes; false before it is known.
+func (f *Feed) State(prefix string) (State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.replicas[prefix]
+	s := State{CurrentAt: r.currentAt, ChangedAt: r.changedAt}
+	for _, o := range r.objects {
+		s.Version = max(s.Version, o.Version)
+	}
+	return s, r.known
+}
+
 // ReadsStore reports whether the node reads the store itself.
 func (f *Feed) ReadsStore() bool {
 	f.mu.Lock()
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -252,3 +252,26 @@
 	r.await(version, r.nodes...)
 	r.awaitOneReader()
 }
+
+// TestSlowResponseDoesNotConfirmItsWholeReceipt guards against a node that takes its state for the store's at the end
+// of a response that took seconds to arrive: what was written meanwhile is not in it.
+func TestSlowResponseDoesNotConfirmItsWholeReceipt(t *testing.T) {
+	r := newRegion(t, 3)
+	const receipt = 1500 * time.Millisecond
+	for _, n := range r.nodes {
+		n.store.transfer.Store(int64(receipt))
+	}
+	wroteAt := bootclock.Now()
+	r.write()
+	for _, n := range r.nodes {
+		for deadline := time.Now().Add(10 * time.Second); n.version.Load() < 2; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s does not know the change", n.name)
+			}
+		}
+		state, known := n.feed.State(prefix)
+		if late := state.CurrentAt - wroteAt; !known || late > receipt/2 {
+			t.Errorf("%s: known %v, state of %v after the write, which took %v to arrive", n.name, known, late, receipt)
+		}
+	}
+}
--- a/node/feed/protocol.go
+++ b/node/feed/protocol.go
@@ -47,6 +47,8 @@
 	Next    objects.Version `json:"next"`
 	// AgeMillis is how long ago the state was confirmed to be current.
 	AgeMillis int64 `json:"age_ms"`
+	// CurrentAgeMillis is how long ago the state is known to have been that of the store.
+	CurrentAgeMillis int64 `json:"current_age_ms"`
 }
 
 // follow asks the source once for news and leaves the source if it fails or is not current.
@@ -54,8 +56,8 @@
 	hold := f.holdTime(place)
 	callCtx, cancel := context.WithTimeout(ctx, hold+answerMargin)
 	defer cancel()
-	callCtx, received := f.observeReceipt(callCtx)
-	defer received()
+	callCtx, receipt := f.observeReceipt(callCtx)
+	defer receipt.end()
 	var answer response
 	err := peercall.Do(callCtx, f.cfg.Pool, address, Path, request{After: f.known(), HoldMillis: hold.Milliseconds()}, &answer)
 	if ctx.Err() != nil {
@@ -69,8 +71,10 @@
 	now := f.cfg.Clock()
 	for prefix, n := range answer.Prefixes {
 		if f.replicas[prefix] != nil {
-			age := time.Duration(max(0, min(n.AgeMillis, maxAge.Milliseconds()))) * time.Millisecond
-			f.apply(prefix, update{objects: n.Objects, next: n.Next, confirmedAt: now - age})
+			f.apply(prefix, update{
+				objects: n.Objects, next: n.Next,
+				confirmedAt: now - ageOf(n.AgeMillis), currentAt: receipt.beganAt() - ageOf(n.CurrentAgeMillis),
+			})
 		}
 	}
 	if age, known := f.Age(); !known {
@@ -80,6 +84,11 @@
 	}
 }
 
+// ageOf returns the age that a node has named in milliseconds.
+func ageOf(millis int64) time.Duration {
+	return time.Duration(max(0, min(millis, maxAge.Milliseconds()))) * time.Millisecond
+}
+
 func (f *Feed) setSourceReceives(receives bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -159,7 +168,7 @@
 			isConfirmed = false
 			continue
 		}
-		n := news{Objects: r.objectsAfter(after), Next: r.next, AgeMillis: (now - r.confirmedAt).Milliseconds()}
+		n := news{Objects: r.objectsAfter(after), Next: r.next, AgeMillis: (now - r.confirmedAt).Milliseconds(), CurrentAgeMillis: (now - r.currentAt).Milliseconds()}
 		hasNewer = hasNewer || len(n.Objects) > 0
 		isConfirmed = isConfirmed && r.confirmedAt >= arrived
 		answer.Prefixes[prefix] = n
--- a/node/feed/reader.go
+++ b/node/feed/reader.go
@@ -66,8 +66,8 @@
 func (f *Feed) read(ctx context.Context, prefix string) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	ctx, received := f.observeReceipt(ctx)
-	defer received()
+	ctx, receipt := f.observeReceipt(ctx)
+	defer receipt.end()
 	f.mu.Lock()
 	known, after := f.replicas[prefix].known, f.replicas[prefix].next
 	f.mu.Unlock()
@@ -90,24 +90,50 @@
 		return errors.Wrapf(errBehind, "version %s, known %s", next, after)
 	}
 	confirmedAt := f.cfg.Clock()
-	f.apply(prefix, update{objects: packNewer(changed, after), next: next, confirmedAt: confirmedAt})
+	f.apply(prefix, update{objects: packNewer(changed, after), next: next, confirmedAt: confirmedAt, currentAt: receipt.beganAt()})
 	return nil
 }
 
+// receipt follows the receipt of the responses of one call. It is used by one goroutine.
+type receipt struct {
+	feed *Feed
+	// calledAt is when the call began, and firstAt when the first of its responses began to arrive.
+	calledAt, firstAt time.Duration
+	// responses is the number of responses that have begun to arrive.
+	responses int
+}
+
 // observeReceipt returns a context whose call counts as being received once its response begins to
-// arrive. The function that it returns must be called after the call.
-func (f *Feed) observeReceipt(ctx context.Context) (context.Context, func()) {
-	began := 0
-	add := func(n int) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.receiving += n
+// arrive, until the end of the receipt.
+func (f *Feed) observeReceipt(ctx context.Context) (context.Context, *receipt) {
+	r := &receipt{feed: f, calledAt: f.cfg.Clock()}
+	return transfer.WithObserver(ctx, r.begin), r
+}
+
+func (r *receipt) begin() {
+	if r.responses == 0 {
+		r.firstAt = r.feed.cfg.Clock()
+	}
+	r.responses++
+	r.feed.addReceiving(1)
+}
+
+// end must be called after the call.
+func (r *receipt) end() { r.feed.addReceiving(-r.responses) }
+
+// beganAt returns a time at which the content of the response was current: when it began to arrive, or when the call
+// began if that is not known.
+func (r *receipt) beganAt() time.Duration {
+	if r.responses == 0 {
+		return r.calledAt
 	}
-	ctx = transfer.WithObserver(ctx, func() {
-		began++
-		add(1)
-	})
-	return ctx, func() { add(-began) }
+	return r.firstAt
+}
+
+func (f *Feed) addReceiving(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.receiving += n
 }
 
 // presentObjects returns the objects of a batch without the deleted ones.
--- a/node/ingress/ingress.go
+++ b/node/ingress/ingress.go
@@ -28,10 +28,18 @@
 	defaultTimeout = 30 * time.Second
 )
 
+// Configuration is the configuration by which a node routes.
+type Configuration interface {
+	// Current returns the configuration in force, or nil before one is known.
+	Current() *routing.Config
+	// IsLatest reports whether the configuration in force is the latest one, as far as the node can know.
+	IsLatest() bool
+}
+
 // Handler is the http.Handler for callers.
 type Handler struct {
 	codec    exchange.Codec
-	config   func() *routing.Config
+	config   Configuration
 	dispatch *Dispatcher
 	service  string
 	log      *telemetry.RequestLog
@@ -40,7 +48,7 @@
 
 // NewHandler returns the handler of a node whose local target runs the service. The service is
 // passed on as the caller's identity, whatever the request's headers claim.
-func NewHandler(codec exchange.Codec, config func() *routing.Config, d *Dispatcher, service string) *Handler {
+func NewHandler(codec exchange.Codec, config Configuration, d *Dispatcher, service string) *Handler {
 	return &Handler{codec: codec, config: config, dispatch: d, service: service, log: d.deps.Log, metrics: d.deps.Metrics}
 }
 
@@ -48,13 +56,20 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	meta, metaErr := h.codec.DecodeRequest(r.Header)
-	config := h.config()
+	config := h.config.Current()
 	if config == nil {
 		h.log.Unusual("request refused", "id", meta.ID, "reason", "no configuration")
 		h.refuse(w, meta.ID, http.StatusServiceUnavailable, unconfiguredRetryAfter, "no configuration")
 		return
 	}
 	route := config.Lookup(r.Host, r.URL.Path)
+	if route == nil && !h.config.IsLatest() {
+		// A later configuration may have the route.
+		h.log.Unusual("request refused", "id", meta.ID, "reason", "no route, configuration not confirmed", "host", r.Host, "path", r.URL.Path,
+			"config", config.Version)
+		h.refuse(w, meta.ID, http.StatusServiceUnavailable, unconfiguredRetryAfter, "configuration not confirmed")
+		return
+	}
 	if route == nil {
 		h.log.Unusual("no route", "id", meta.ID, "host", r.Host, "path", r.URL.Path, "config", config.Version)
 		h.refuse(w, meta.ID, http.StatusNotFound, 0, "no route")
--- a/node/ingress/ingress_test.go
+++ b/node/ingress/ingress_test.go
@@ -161,7 +161,7 @@
 			Local: func(context.Context, *relay.Request) relay.Result { sends++; return shedResult() },
 			Peers: senderFunc(func(*relay.Request) relay.Result { sends++; return answeredResult(200) }),
 		})
-		h := NewHandler(idCodec{}, config, d, "own")
+		h := NewHandler(idCodec{}, fixedConfig{config(), true}, d, "own")
 		if status, _ := serve(h, row.path, ""); status != row.status || sends != row.sends {
 			t.Errorf("%s: status %d after %d sends", row.path, status, sends)
 		}
@@ -180,6 +180,12 @@
 	if status, _ := serve(newHandler(t, never, config()), "/none/", ""); status != http.StatusNotFound {
 		t.Errorf("no route: status %d", status)
 	}
+	// A configuration that may not be the latest one does not show that there is no route.
+	h := newHandler(t, never, config())
+	h.config = fixedConfig{config(), false}
+	if status, header := serve(h, "/none/", ""); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("no route in an old configuration: status %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
 	if status, _ := serve(newHandler(t, never, config()), "/any/", strings.Repeat("x", 200)); status != http.StatusRequestEntityTooLarge {
 		t.Errorf("long body: status %d", status)
 	}
@@ -224,9 +230,19 @@
 		View: oneTarget, Local: local, Retry: retry.Policy{Ratio: 1, Burst: 10, MaxAttempts: 10},
 		Region: "r", Log: discardLog(), Metrics: telemetry.NewMetrics(prometheus.NewRegistry()),
 	})
-	return NewHandler(idCodec{}, func() *routing.Config { return c }, d, "own")
+	return NewHandler(idCodec{}, fixedConfig{c, true}, d, "own")
+}
+
+// fixedConfig is a Configuration that does not change.
+type fixedConfig struct {
+	config   *routing.Config
+	isLatest bool
 }
 
+func (c fixedConfig) Current() *routing.Config { return c.config }
+
+func (c fixedConfig) IsLatest() bool { return c.isLatest }
+
 func oneTarget() *ownership.View {
 	return ownership.NewView(map[string][]ownership.Destination{
 		"s": {{Node: "vm-1", Target: "i-1", Region: "r", Slots: 4, Local: true, Ready: true}},
--- a/node/ingress/targetstates_test.go
+++ b/node/ingress/targetstates_test.go
@@ -39,7 +39,7 @@
 		Retry: retry.Policy{Ratio: 1, Burst: 10, MaxAttempts: 10}, Region: "r", Log: discardLog(),
 		Metrics: telemetry.NewMetrics(prometheus.NewRegistry()),
 	})
-	return NewHandler(idCodec{}, config, d, "own")
+	return NewHandler(idCodec{}, fixedConfig{config(), true}, d, "own")
 }
 
 func TestTargetThatLeavesIsNotChosenAgain(t *testing.T) {
--- a/node/sidecar/config.go
+++ b/node/sidecar/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/node/bootclock"
 	"github.com/auburnrelay/auburnrelay/node/feed"
 	"github.com/auburnrelay/auburnrelay/objects"
 	"github.com/auburnrelay/auburnrelay/platform"
@@ -19,31 +20,60 @@
 	feed    *feed.Feed
 	log     *slog.Logger
 	inForce atomic.Pointer[routing.Config]
+	// read is the version of the store up to which the configuration has been decoded or rejected.
+	read atomic.Int64
 }
 
 func newConfigWatcher(f *feed.Feed, log *slog.Logger) *configWatcher {
 	return &configWatcher{feed: f, log: log}
 }
 
-// current returns the configuration in force, or nil before one is known.
-func (c *configWatcher) current() *routing.Config { return c.inForce.Load() }
+// Current implements ingress.Configuration.
+func (c *configWatcher) Current() *routing.Config { return c.inForce.Load() }
 
 func (c *configWatcher) isKeyed(service string) bool {
 	config := c.inForce.Load()
 	return config != nil && config.Services[service].Keyed
 }
 
+// maxUnconfirmed is how long after the store was last known to hold no later configuration the one in force still
+// shows that a route does not exist. It is less than the time within which a version must be in force, by the time
+// that a request takes to be answered.
+const maxUnconfirmed = 2500 * time.Millisecond
+
+// IsLatest implements ingress.Configuration: no later configuration is being decoded, and the state of the store was
+// confirmed recently.
+func (c *configWatcher) IsLatest() bool {
+	state, known := c.feed.State(configPrefix)
+	return known && int64(state.Version) <= c.read.Load() && bootclock.Now()-state.CurrentAt <= maxUnconfirmed
+}
+
+// configPrefix is the prefix of the configuration's key.
+const configPrefix = objectstore.ConfigKind + "/"
+
 // run watches the configuration until the context ends.
 func (c *configWatcher) run(ctx context.Context) error {
-	return c.feed.Watch(ctx, objectstore.ConfigKind+"/", func(b objects.Batch) {
+	return c.feed.Watch(ctx, configPrefix, func(b objects.Batch) {
+		began := bootclock.Now()
 		for _, e := range b.Events {
 			if e.Object.Key == platform.ConfigKey && !e.Deleted {
 				c.apply(e.Object)
 			}
 		}
+		c.read.Store(int64(b.Next))
+		c.logSteps(b, began)
 	})
 }
 
+// logSteps logs how long the steps of a change took until it was in force.
+func (c *configWatcher) logSteps(b objects.Batch, began time.Duration) {
+	state, _ := c.feed.State(configPrefix)
+	now := bootclock.Now()
+	c.log.Info("configuration read", "store_version", b.Next, "latest", state.Version,
+		"waited_ms", (began - state.ChangedAt).Milliseconds(), "took_ms", (now - began).Milliseconds(),
+		"current_ms_ago", (now - state.CurrentAt).Milliseconds(), "reads_store", c.feed.ReadsStore())
+}
+
 func (c *configWatcher) apply(o objects.Object) {
 	began := time.Now()
 	config, err := platform.DecodeConfig(o.Value)
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -169,7 +169,7 @@
 		MaxBackoff: maxReadBackoff, Registerer: d.registry,
 	})
 	d.feed = feed.New(feed.Config{
-		Self: s.Node.Name, Prefixes: []string{objectstore.ConfigKind + "/", ownership.TablesPrefix}, Store: feedStore, Pool: d.peerPool,
+		Self: s.Node.Name, Prefixes: []string{configPrefix, ownership.TablesPrefix}, Store: feedStore, Pool: d.peerPool,
 		Members: func() map[string]string { return d.ownership.RegionPeers() }, Clock: bootclock.Now, Log: log.With("part", "feed"),
 	})
 	d.config = newConfigWatcher(d.feed, log.With("part", "config"))
@@ -235,7 +235,7 @@
 		View: d.ownership.View, Local: d.guard.Serve, Peers: hop.NewClient(d.peerPool), Retry: policy, DrainGrace: d.drainGrace(),
 		Region: d.settings.Node.Region, Log: requestLog("ingress"), Metrics: metrics,
 	})
-	callers := ingress.NewHandler(codec, d.config.current, dispatcher, d.settings.Node.Service)
+	callers := ingress.NewHandler(codec, d.config, dispatcher, d.settings.Node.Service)
 	peers := hop.NewServer(d.settings.Node.Name, codec, d.guard.Serve, requestLog("hop"))
 	return d.servers.open(d, callers, d.peerHandler(peers))
 }
@@ -243,7 +243,7 @@
 // registerGauges registers the metrics that are computed when they are collected.
 func (d *Daemon) registerGauges() {
 	telemetry.Gauge(d.registry, "config_version", "Version of the configuration in force; 0 before one is known.", func() float64 {
-		if c := d.config.current(); c != nil {
+		if c := d.config.Current(); c != nil {
 			return float64(c.Version)
 		}
 		return 0
--- a/node/sidecar/servers.go
+++ b/node/sidecar/servers.go
@@ -101,7 +101,7 @@
 			d.log.Error("not ready: the ownership of keys does not respond")
 			return c.String(http.StatusServiceUnavailable, "ownership does not respond\n")
 		}
-		if d.config.current() == nil {
+		if d.config.Current() == nil {
 			return c.String(http.StatusServiceUnavailable, "no configuration\n")
 		}
 		return c.String(http.StatusOK, "ready\n")
--- a/node/sidecar/sidecar_test.go
+++ b/node/sidecar/sidecar_test.go
@@ -16,7 +16,7 @@
 // replace the one in force.
 func TestVersionsOnlyGrow(t *testing.T) {
 	c := newConfigWatcher(nil, slog.New(slog.DiscardHandler))
-	if c.current() != nil || c.isKeyed("k") {
+	if c.Current() != nil || c.isKeyed("k") {
 		t.Error("a configuration is in force before any was read")
 	}
 	rows := []struct {
@@ -33,7 +33,7 @@
 	}
 	for i, row := range rows {
 		c.apply(objects.Object{Value: []byte(row.value), Version: objects.Version(i + 1)})
-		if got := c.current().Version; got != row.want {
+		if got := c.Current().Version; got != row.want {
 			t.Errorf("after %s: version %d, want %d", row.value, got, row.want)
 		}
 		if i == 0 && !c.isKeyed("k") {
--- a/standin/sidecar/config_test.go
+++ b/standin/sidecar/config_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,12 +83,11 @@
 	return strings.Replace(fmt.Sprintf(configText, version), `"rules":[`, `"rules":[`+further.String(), 1)
 }
 
-// awaitRoute sends requests until the node answers a path with anything but 404. It returns false if
-// the node still answers 404 after the deadline.
+// awaitRoute sends requests until the node serves a path. It returns false if it does not by the deadline.
 func (s *deployment) awaitRoute(n *node, path string, deadline time.Time) bool {
 	for {
 		status, _ := s.send(n, http.MethodGet, path, -1)
-		if status != 0 && status != http.StatusNotFound {
+		if status == http.StatusOK {
 			return true
 		}
 		if time.Now().After(deadline) {
@@ -120,6 +120,52 @@
 		}
 	}
 	if late > 0 {
-		t.Errorf("%d of %d nodes answer 404 for an added route %v after its acknowledgement", late, len(s.nodes), configBound)
+		t.Errorf("%d of %d nodes do not serve an added route %v after its acknowledgement", late, len(s.nodes), configBound)
+	}
+}
+
+// TestUnconfirmedConfigurationDoesNotDenyARoute guards against a 404 for a route that has been added, by a node that
+// has not heard of the new version: it cannot reach the store or another node, or the version is late.
+func TestUnconfirmedConfigurationDoesNotDenyARoute(t *testing.T) {
+	handler := store.New(store.Options{Encoding: body.CBOR})
+	var cut atomic.Bool
+	forNodes := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(forNodes.Close)
+	forOperator := httptest.NewServer(handler)
+	t.Cleanup(forOperator.Close)
+	s := &deployment{t: t, storeURL: forNodes.URL, recorder: newRecorder()}
+	s.configure(1)
+	s.addNode("vm-1", "s")
+	n := s.nodes[0]
+	if !s.awaitRoute(n, "/read/", time.Now().Add(10*time.Second)) {
+		t.Fatal("no request is served")
+	}
+	if status, _ := s.send(n, http.MethodGet, "/none/", -1); status != http.StatusNotFound {
+		t.Errorf("path without a route: status %d, want 404", status)
+	}
+	cut.Store(true)
+	// A poll that is open at the cut still gets the next change.
+	time.Sleep(time.Second)
+	s.storeURL = forOperator.URL
+	s.putConfig(2, largeConfig(2, 2))
+	time.Sleep(configBound)
+	status, _ := s.send(n, http.MethodGet, "/route0000001/", -1)
+	if status != http.StatusServiceUnavailable {
+		t.Errorf("added route %v after its acknowledgement: status %d, want 503", configBound, status)
+	}
+	if status, _ := s.send(n, http.MethodGet, "/read/", -1); status != http.StatusOK {
+		t.Errorf("known route: status %d", status)
+	}
+	cut.Store(false)
+	if !s.awaitRoute(n, "/route0000001/", time.Now().Add(configBound)) {
+		t.Error("the added route is not served after the store's return")
+	}
+	if status, _ := s.send(n, http.MethodGet, "/none/", -1); status != http.StatusNotFound {
+		t.Errorf("path without a route after the store's return: status %d, want 404", status)
 	}
 }
--- a/standin/sidecar/restore_test.go
+++ b/standin/sidecar/restore_test.go
@@ -53,10 +53,10 @@
 	deadline := time.Now().Add(configBound)
 	for _, n := range s.nodes {
 		if !s.awaitRoute(n, "/route3/", deadline) {
-			t.Errorf("%s answers 404 for an added route %v after its acknowledgement", n.name, configBound)
+			t.Errorf("%s does not serve an added route %v after its acknowledgement", n.name, configBound)
 		}
-		if status, _ := s.send(n, http.MethodGet, "/route2/", -1); status == http.StatusNotFound {
-			t.Errorf("%s answers 404 for a route that was in force before the store returned", n.name)
+		if status, _ := s.send(n, http.MethodGet, "/route2/", -1); status != http.StatusOK {
+			t.Errorf("%s does not serve a route that was in force before the store returned", n.name)
 		}
 	}
 }
