node/ownership: a target that has just ended is not replaced by an earlier one

A heartbeat with an earlier start time counts if the present target is silent. A target whose port refuses connections counted as silent at once, so a delayed heartbeat of the process before it could take its place between two starts. Found by reading; only the time since its last heartbeat counts now.

--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -117,7 +117,7 @@
 		return current
 	}
 	isEarlier := current != nil && r.Born < current.report.Born
-	if isEarlier && !current.isAbsent(now, o.cfg.Timing.TargetTimeout) {
+	if isEarlier && now-current.heartbeatAt <= o.cfg.Timing.TargetTimeout {
 		return nil
 	}
 	known := slices.IndexFunc(o.formerTargets, func(p *targetProcess) bool { return p.isSender(r) })
