node/sidecar: how long a configuration may be unconfirmed follows the deployment

Deployments name the time within which a version must be in force: 2 s on the small ones, 3 s on the others. The 2.5 s after which an unknown route is no longer denied fitted the others only. The template passes the time on as bounds.config_apply_seconds, 2 by default, and half a second of it is left for the way of the response and the answer.

TestTemplateGivesSettings has the new field; TestUnconfirmedConfigurationDoesNotDenyARoute passes with the default.

--- a/node/sidecar/config.go
+++ b/node/sidecar/config.go
@@ -20,12 +20,21 @@
 	feed    *feed.Feed
 	log     *slog.Logger
 	inForce atomic.Pointer[routing.Config]
+	// maxUnconfirmed is how long after the store was last known to hold no later configuration the one in force
+	// still shows that a route does not exist.
+	maxUnconfirmed time.Duration
 	// read is the version of the store up to which the configuration has been decoded or rejected.
 	read atomic.Int64
 }
 
-func newConfigWatcher(f *feed.Feed, log *slog.Logger) *configWatcher {
-	return &configWatcher{feed: f, log: log}
+// confirmMargin is the part of the time within which a configuration must be in force that is left for what happens
+// after the store has answered: the way of the response and the answer to the caller.
+const confirmMargin = 500 * time.Millisecond
+
+// newConfigWatcher returns a watcher of the feed for a deployment in which a configuration must be in force within
+// the given time.
+func newConfigWatcher(f *feed.Feed, applyWithin time.Duration, log *slog.Logger) *configWatcher {
+	return &configWatcher{feed: f, log: log, maxUnconfirmed: applyWithin - confirmMargin}
 }
 
 // Current implements ingress.Configuration.
@@ -36,16 +45,11 @@
 	return config != nil && config.Services[service].Keyed
 }
 
-// maxUnconfirmed is how long after the store was last known to hold no later configuration the one in force still
-// shows that a route does not exist. It is less than the time within which a version must be in force, by the time
-// that a request takes to be answered.
-const maxUnconfirmed = 2500 * time.Millisecond
-
 // IsLatest implements ingress.Configuration: no later configuration is being decoded, and the state of the store was
 // confirmed recently.
 func (c *configWatcher) IsLatest() bool {
 	state, known := c.feed.State(configPrefix)
-	return known && int64(state.Version) <= c.read.Load() && bootclock.Now()-state.CurrentAt <= maxUnconfirmed
+	return known && int64(state.Version) <= c.read.Load() && bootclock.Now()-state.CurrentAt <= c.maxUnconfirmed
 }
 
 // configPrefix is the prefix of the configuration's key.
--- a/node/sidecar/daemon.go
+++ b/node/sidecar/daemon.go
@@ -172,7 +172,7 @@
 		Self: s.Node.Name, Prefixes: []string{configPrefix, ownership.TablesPrefix}, Store: feedStore, Pool: d.peerPool,
 		Members: func() map[string]string { return d.ownership.RegionPeers() }, Clock: bootclock.Now, Log: log.With("part", "feed"),
 	})
-	d.config = newConfigWatcher(d.feed, log.With("part", "config"))
+	d.config = newConfigWatcher(d.feed, s.Bounds.ConfigApplySeconds.Duration(), log.With("part", "config"))
 	d.ownership = ownership.New(ownership.Config{
 		Self: ownership.Entry{
 			Name: s.Node.Name, Incarnation: ulid.Make().String(), Address: s.Listen.Peers,
--- a/node/sidecar/settings.go
+++ b/node/sidecar/settings.go
@@ -64,6 +64,9 @@
 		DrainSeconds Seconds `toml:"drain_seconds" validate:"gte=0"`
 		// StopSeconds is the time between SIGTERM and SIGKILL.
 		StopSeconds Seconds `toml:"stop_seconds" validate:"gt=0"`
+		// ConfigApplySeconds is the time after its acknowledgement within which a configuration must be in force;
+		// 2 by default.
+		ConfigApplySeconds Seconds `toml:"config_apply_seconds" validate:"gte=1"`
 		// HoldMaxSeconds is the longest grant of keys that a target accepts.
 		HoldMaxSeconds Seconds `toml:"hold_max_seconds" validate:"gt=0"`
 		// RetryRatio and RetrySlack bound the sends beyond the first of a service's requests
@@ -86,9 +89,13 @@
 	return s, errors.Wrapf(err, "settings %s", path)
 }
 
+// defaultConfigApply is the default of Bounds.ConfigApplySeconds, the time of the small deployments.
+const defaultConfigApply Seconds = 2
+
 // ParseSettings is LoadSettings for the content of a file.
 func ParseSettings(data []byte) (*Settings, error) {
 	s := &Settings{}
+	s.Bounds.ConfigApplySeconds = defaultConfigApply
 	if err := toml.Unmarshal(data, s); err != nil {
 		var decodeErr *toml.DecodeError
 		if errors.As(err, &decodeErr) {
--- a/node/sidecar/sidecar_test.go
+++ b/node/sidecar/sidecar_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,7 +16,7 @@
 // TestVersionsOnlyGrow checks that configurations that are older, repeated or malformed do not
 // replace the one in force.
 func TestVersionsOnlyGrow(t *testing.T) {
-	c := newConfigWatcher(nil, slog.New(slog.DiscardHandler))
+	c := newConfigWatcher(nil, time.Second, slog.New(slog.DiscardHandler))
 	if c.Current() != nil || c.isKeyed("k") {
 		t.Error("a configuration is in force before any was read")
 	}
@@ -56,7 +57,7 @@
 	}
 	for name, value := range map[string]string{
 		"node": "sidecar-debrecen-1", "app-addr": "10.1.0.38:8145", "region": "alfold", "zone": "debrecen", "service": "huvo11a", "ip": "10.1.0.38",
-		"internal-ports.0": "7380", "limits.memory-mb": "284", "heartbeat-s": "0.87", "bounds.drain-s": "2", "bounds.grace-s": "6",
+		"internal-ports.0": "7380", "limits.memory-mb": "284", "heartbeat-s": "0.87", "bounds.drain-s": "2", "bounds.grace-s": "6", "bounds.config-apply-s": "3",
 		"bounds.hold-max-s": "10", "bounds.retry-ratio": "0.2", "bounds.retry-slack": "58", "bounds.retry-window-s": "10",
 	} {
 		filled = strings.ReplaceAll(filled, "{{"+name+"}}", value)
@@ -76,12 +77,13 @@
 		t.Fatal(err)
 	}
 	if s.Node.Name != "sidecar-debrecen-1" || s.Listen.Admin != "10.1.0.38:7380" || s.Store.URL != "http://10.1.0.38:8144" ||
-		s.Target.HeartbeatSeconds != 0.87 || s.Bounds.HoldMaxSeconds != 10 || s.Bounds.RetrySlack != 58 {
+		s.Target.HeartbeatSeconds != 0.87 || s.Target.Address != "10.1.0.38:8145" || s.Bounds.ConfigApplySeconds != 3 || s.Bounds.HoldMaxSeconds != 10 || s.Bounds.RetrySlack != 58 {
 		t.Errorf("got %+v", s)
 	}
 	rows := []struct{ from, to, want string }{
 		{`name = "sidecar-debrecen-1"`, `name = ""`, "Settings.Node.Name"},
 		{`heartbeat_seconds = 0.87`, `heartbeat_seconds = -1`, "Settings.Target.HeartbeatSeconds"},
+		{`config_apply_seconds = 3`, `config_apply_seconds = 0`, "Settings.Bounds.ConfigApplySeconds"},
 		{`admin = "10.1.0.38:7380"`, `admin = "10.1.0.38"`, "Settings.Listen.Admin"},
 		{`url = "http://10.1.0.38:8144"`, `url = "ftp://x"`, "Settings.Store.URL"},
 		{`retry_ratio = 0.2`, `retry_ratio = "many"`, "line "},
