node/storelink: a starting node is not cut off by a slow answer of the store

Cause: a call of the store that is not answered within 0.35 s makes a node go through other nodes, and make no direct call for a second. A node that has just started knows no other node until it has listed the entries, 187 KB for 236 nodes, over a link that the listings of the others fill. Each attempt was ended after 0.35 s and sent again, and all other calls in the second after it failed at once, those for the configuration too.

While a node knows no other one, the wait for a direct call is bounded by its caller only, and a failed call does not stop the others. The first reading of the entries may take 2.4 s instead of 0.6 s.

TestStartingNodeIsNotCutOffByASlowListing before: "slow listing: 0 objects after 1 calls, store does not answer and no other node is known", "poll right after a failed call: 0 changes". After: it passes.

--- a/node/ownership/lease.go
+++ b/node/ownership/lease.go
@@ -189,10 +189,15 @@
 // maxStaleness bounds the age of a stale listing.
 const maxStaleness = 10 * time.Second
 
+// firstReadTimeout bounds the first reading of the entries. Until it succeeds the node knows no other one, and has no
+// other way to the store; the listing of a large fleet may be delayed on a link between regions, and each further
+// attempt would send it again.
+const firstReadTimeout = 4 * callTimeout
+
 // readEntries reads the entries once. The first reading of a process is never a stale one, nor is any while a
 // stale one may show the state from before the store returned from a copy.
 func (o *Ownership) readEntries(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, o.readTimeout())
 	defer cancel()
 	if !o.needsFreshEntries() {
 		listing, err := o.store.ListStale(ctx, NodesPrefix)
@@ -210,6 +215,15 @@
 	return err
 }
 
+func (o *Ownership) readTimeout() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.hasReadStore {
+		return callTimeout
+	}
+	return firstReadTimeout
+}
+
 func (o *Ownership) needsFreshEntries() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/node/storelink/storelink.go
+++ b/node/storelink/storelink.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// directTimeout bounds the wait for the response to a direct call other than a poll. The store
-	// answers in 4 ms, or in 240 ms when it is slow; a higher limit would leave the call too little time
-	// to go through another node.
+	// directTimeout bounds the wait for the response to a direct call other than a poll, if another node is
+	// known. The store answers in 4 ms, or in 240 ms when it is slow; a higher limit would leave the call too
+	// little time to go through another node.
 	directTimeout = 350 * time.Millisecond
 	// probeInterval is how long no direct call is made after the store failed to answer.
 	probeInterval = time.Second
@@ -118,8 +118,13 @@
 	ctx context.Context, s *Store, m storeRequest, direct func(context.Context) (T, error), extract func(storeResponse) T,
 ) (T, error) {
 	var value T
-	if storeLost, ok := s.mayCallDirect(); ok {
-		err := s.callDirect(ctx, m.Op, storeLost, func(ctx context.Context) (err error) {
+	alone := s.isAlone()
+	if storeLost, ok := s.mayCallDirect(alone); ok {
+		limit := directTimeout
+		if alone || m.Op == opPoll {
+			limit = 0
+		}
+		err := s.callDirect(ctx, m.Op, limit, storeLost, func(ctx context.Context) (err error) {
 			value, err = direct(ctx)
 			return err
 		})
@@ -134,12 +139,16 @@
 	return extract(a), nil
 }
 
+// isAlone reports whether no other node is known, as on a node that has just started. Calls of such a node have only
+// one way to the store: ending them early would not make them succeed, but load a slow link with further responses.
+func (s *Store) isAlone() bool { return len(s.peers()) == 0 }
+
 // mayCallDirect reports whether to make a direct call, and returns the channel that is closed when
 // the store stops answering.
-func (s *Store) mayCallDirect() (<-chan struct{}, bool) {
+func (s *Store) mayCallDirect(alone bool) (<-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lost && time.Now().Before(s.probeAt) {
+	if s.lost && !alone && time.Now().Before(s.probeAt) {
 		return nil, false
 	}
 	if s.lost {
@@ -156,8 +165,9 @@
 	return !s.lost
 }
 
-// callDirect makes a direct call and records whether the store answered.
-func (s *Store) callDirect(ctx context.Context, op operation, storeLost <-chan struct{}, do func(context.Context) error) error {
+// callDirect makes a direct call and records whether the store answered. The limit bounds the wait for its response;
+// zero means that only ctx does.
+func (s *Store) callDirect(ctx context.Context, op operation, limit time.Duration, storeLost <-chan struct{}, do func(context.Context) error) error {
 	callCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
 	if op == opPoll {
@@ -169,9 +179,10 @@
 			case <-callCtx.Done():
 			}
 		}()
-	} else {
+	}
+	if limit > 0 {
 		var stop context.CancelFunc
-		callCtx, stop = context.WithTimeout(callCtx, directTimeout)
+		callCtx, stop = context.WithTimeout(callCtx, limit)
 		defer stop()
 	}
 	err := do(callCtx)
--- a/node/storelink/storelink_test.go
+++ b/node/storelink/storelink_test.go
@@ -174,3 +174,46 @@
 		t.Errorf("got %+v, %v", batch, err)
 	}
 }
+
+// delayedStore answers a listing after the delay, unless its call ends before.
+type delayedStore struct {
+	cuttableStore
+	delay time.Duration
+	calls *int
+}
+
+func (d delayedStore) List(ctx context.Context, prefix string) (objects.Listing, error) {
+	*d.calls++
+	select {
+	case <-time.After(d.delay):
+		return d.Store.List(ctx, prefix)
+	case <-ctx.Done():
+		return objects.Listing{}, errors.Mark(ctx.Err(), objects.ErrUnavailable)
+	}
+}
+
+// TestStartingNodeIsNotCutOffByASlowListing guards against a node that has just started, and that makes no call for a
+// second after one answer was slow: it knows no other node through which it could read the configuration meanwhile.
+func TestStartingNodeIsNotCutOffByASlowListing(t *testing.T) {
+	cut := false
+	calls := 0
+	memory := memstore.New(memstore.Options{PollWait: contract.PollWait})
+	s := newTestStore(delayedStore{cuttableStore{memory, &cut}, 2 * directTimeout, &calls})
+	if _, err := memory.Put(context.Background(), "a/1", []byte("x"), 0, "w"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*directTimeout)
+	defer cancel()
+	if listing, err := s.List(ctx, "a/"); err != nil || len(listing.Objects) != 1 || calls != 1 {
+		t.Errorf("slow listing: %d objects after %d calls, %v", len(listing.Objects), calls, err)
+	}
+	// A call that fails does not stop the others either.
+	cut = true
+	if _, err := s.Get(ctx, "a/1"); !errors.Is(err, objects.ErrUnavailable) {
+		t.Errorf("store that does not answer: %v", err)
+	}
+	cut = false
+	if batch, err := s.Poll(ctx, "a/", 0); err != nil || len(batch.Events) != 1 {
+		t.Errorf("poll right after a failed call: %d changes, %v", len(batch.Events), err)
+	}
+}
