--- a/core/holding/grants.go
+++ b/core/holding/grants.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// MaxSlots is the largest number of slots of a target that is taken for true. Targets have a few dozen at most; the
-// length of queues grows with it.
+// MaxSlots is the largest number of slots that a target may report. Targets have a few dozen at most; the length of
+// queues grows with it.
 const MaxSlots = 1 << 16
 
 // Report is the state that a target reports in one heartbeat.
--- a/node/feed/protocol.go
+++ b/node/feed/protocol.go
@@ -21,7 +21,8 @@
 	// answerMargin is the time allowed for the answer after the hold. Nodes of a region are a few
 	// milliseconds apart, but a node may be busy.
 	answerMargin = 250 * time.Millisecond
-	// maxAge is the greatest age of a state that is told apart; far older states are left all the same.
+	// maxAge bounds the ages in messages, so that they can be subtracted from a time. Sources are left long
+	// before their state is as old.
 	maxAge = time.Hour
 	// receivePatience is added to a node's patience while its source receives a response: the node
 	// would have to receive the same.
--- a/node/ownership/target.go
+++ b/node/ownership/target.go
@@ -48,7 +48,7 @@
 }
 
 // provesEarlierEnded reports whether the reports of the process prove that those with an earlier start time have
-// ended. They do not if its own start time is wrong; the grants of the others then have to lapse.
+// ended. They do not if its own start time is ahead of the clock; the grants of the others then have to lapse.
 func (p *targetProcess) provesEarlierEnded() bool { return !p.startsInFuture }
 
 func (p *targetProcess) isLeaving() bool { return p.left || p.answeredLeaving || p.report.Draining }
@@ -102,8 +102,9 @@
 // processOf returns the target process that sent the report, or nil if the report is of an earlier
 // process or out of order. A report of a later process ends the present one.
 //
-// A report of an earlier process is usually a delayed one. If the present process is silent, however, the report
-// may have been wrong that named it, or the clock was put back between the two starts.
+// A report of an earlier process is usually a delayed one and is ignored. If the present process is silent, however,
+// the report that named it may have been wrong, or the clock may have been put back between the two starts. The
+// earlier process then takes its place again, and the present one is kept until its grants lapse.
 func (o *Ownership) processOf(r holding.Report, now time.Duration) *targetProcess {
 	current := o.target
 	if current != nil && current.isSender(r) {
--- a/node/sidecar/config.go
+++ b/node/sidecar/config.go
@@ -27,8 +27,8 @@
 	read atomic.Int64
 }
 
-// confirmMargin is the part of the time within which a configuration must be in force that is left for what happens
-// after the store has answered: the way of the response and the answer to the caller.
+// confirmMargin is subtracted from the time within which a configuration must be in force. It covers what comes after
+// the store has answered: the transit of the response and the answer to the caller.
 const confirmMargin = 500 * time.Millisecond
 
 // newConfigWatcher returns a watcher of the feed for a deployment in which a configuration must be in force within
