review: case 9, a server that has left gets requests again after a restart

A server calls leave and goes on serving. Its node is killed and started again while the store is slow. The new process forgets that the server has left, if its heartbeat comes before the node's own entry has been read, and sends it requests until it ends.

Cause: readOwnEntry in node/ownership/lease.go keeps the notice only while no target is known.

--- a/review/cases-2/deployment.go
+++ b/review/cases-2/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -184,6 +185,11 @@
 			return true
 		}
 	}
+	for _, n := range d.nodes {
+		if log, err := os.ReadFile(filepath.Join(d.dir, n.name+".log")); err == nil && !n.isReady() {
+			d.rec.printf("%s is not ready, runs: %t, log: %s", n.name, n.isRunning(), log[max(0, len(log)-500):])
+		}
+	}
 	return false
 }
 
@@ -193,10 +199,15 @@
 	return l
 }
 
+// freeAddress returns a free address with a port below those that the kernel gives to outgoing connections.
 func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
 }
 
 func must(err error) {
--- a/review/cases-2/server.go
+++ b/review/cases-2/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -187,6 +188,7 @@
 }
 
 func (s *server) beatLoop() {
+	time.Sleep(time.Duration(rand.Float64() * heartbeatSeconds * float64(time.Second)))
 	for {
 		s.mu.Lock()
 		stopped, silent := s.stopped, s.silent
@@ -195,8 +197,10 @@
 			return
 		}
 		pause := time.Duration(heartbeatSeconds * float64(time.Second))
-		if !silent && s.beat() {
-			pause = 100 * time.Millisecond
+		if !silent {
+			if soon, ok := s.beat(); soon || !ok {
+				pause = 100 * time.Millisecond
+			}
 		}
 		time.Sleep(pause)
 	}
@@ -220,8 +224,8 @@
 }
 
 // beat sends one heartbeat and applies the answer. It reports whether another one is due soon, because keys are being
-// released.
-func (s *server) beat() (soon bool) {
+// released, and whether the heartbeat was acknowledged.
+func (s *server) beat() (soon, acknowledged bool) {
 	sentAt := time.Now()
 	s.mu.Lock()
 	s.seq++
@@ -250,14 +254,14 @@
 		for i, token := range freed {
 			s.freed[i] = token
 		}
-		return false
+		return false, false
 	}
 	var granted struct {
 		Holds [][]any `json:"holds"`
 		Hold  float64 `json:"hold-s"`
 	}
 	if json.Unmarshal(answer, &granted) != nil || granted.Holds == nil || !s.keyed {
-		return false
+		return false, true
 	}
 	until := sentAt.Add(time.Duration(granted.Hold * float64(time.Second)))
 	var next [sliceCount]bool
@@ -286,7 +290,7 @@
 			soon = true
 		}
 	}
-	return soon
+	return soon, true
 }
 
 // grant is called when the server takes a slice anew.
@@ -296,6 +300,27 @@
 	}
 }
 
+// stop ends the server.
+func (s *server) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	_ = s.listener.Close()
+}
+
+// heldSlices returns the number of slices that the server holds.
+func (s *server) heldSlices() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for i := range s.holds {
+		if time.Now().Before(s.holds[i].until) {
+			n++
+		}
+	}
+	return n
+}
+
 // post sends a call to the control address of the node.
 func (s *server) post(call string, message map[string]any) ([]byte, bool) {
 	text, err := json.Marshal(message)
