review: case 8, bookings are broken off by a stop in turn

Four nodes are stopped one after the other. Bookings that the last one takes are at work at the server of the first one when that node ends, and are answered 502.

Cause: endsTooSoon in node/guard/stop.go refuses within two objectives of the end only, and the listener for peers is open until the one for callers has no request left.

--- a/review/cases-2/server.go
+++ b/review/cases-2/server.go
@@ -49,7 +49,6 @@
 	seq      int64
 	draining bool
 	stopped  bool
-	silent   bool
 	running  int
 	holds    [sliceCount]hold
 	// working counts the requests at work by slice.
@@ -58,8 +57,6 @@
 	freed   map[int]string
 	runs    map[string]int
 	runAt   map[string]time.Time
-	caller  map[string]string
-	seqRuns int
 }
 
 type serverConn struct {
@@ -72,7 +69,7 @@
 	l := listen()
 	n := lastServer.Add(1)
 	s := &server{rec: rec, id: fmt.Sprintf("i-%08x", 0x1000+n), service: service, address: l.Addr().String(), born: time.Now().UnixMilli(),
-		slots: 6, listener: l, keyed: keyed, freed: map[int]string{}, runs: map[string]int{}, runAt: map[string]time.Time{}, caller: map[string]string{},
+		slots: 6, listener: l, keyed: keyed, freed: map[int]string{}, runs: map[string]int{}, runAt: map[string]time.Time{},
 		work: func(*http.Request) time.Duration { return 20 * time.Millisecond }}
 	return s
 }
@@ -138,7 +135,7 @@
 		s.mu.Unlock()
 		return c.respond(http.StatusServiceUnavailable, nil, "X-Attempt-Id", id, "X-Not-Executed", "1")
 	}
-	s.begin(id, r)
+	s.begin(id)
 	if slice >= 0 {
 		s.working[slice]++
 	}
@@ -154,11 +151,10 @@
 }
 
 // begin records that a request runs. The caller holds the lock.
-func (s *server) begin(id string, r *http.Request) {
+func (s *server) begin(id string) {
 	s.running++
 	s.runs[id]++
 	s.runAt[id] = time.Now()
-	s.caller[id] = r.Header.Get("X-Caller-Service")
 }
 
 func (s *server) end() {
@@ -191,16 +187,14 @@
 	time.Sleep(time.Duration(rand.Float64() * heartbeatSeconds * float64(time.Second)))
 	for {
 		s.mu.Lock()
-		stopped, silent := s.stopped, s.silent
+		stopped := s.stopped
 		s.mu.Unlock()
 		if stopped {
 			return
 		}
 		pause := time.Duration(heartbeatSeconds * float64(time.Second))
-		if !silent {
-			if soon, ok := s.beat(); soon || !ok {
-				pause = 100 * time.Millisecond
-			}
+		if soon, ok := s.beat(); soon || !ok {
+			pause = 100 * time.Millisecond
 		}
 		time.Sleep(pause)
 	}
@@ -275,9 +269,6 @@
 			continue
 		}
 		for i := from / sliceKeys; i <= to/sliceKeys; i++ {
-			if s.holds[i].fence != fence || time.Now().After(s.holds[i].until) {
-				s.grant(i, fence)
-			}
 			s.seen[i], s.holds[i], next[i] = fence, hold{fence, until}, true
 		}
 	}
@@ -293,13 +284,6 @@
 	return soon, true
 }
 
-// grant is called when the server takes a slice anew.
-func (s *server) grant(slice int, fence int64) {
-	if watch != nil {
-		watch.granted(s, slice, fence)
-	}
-}
-
 // stop ends the server.
 func (s *server) stop() {
 	s.mu.Lock()
@@ -321,6 +305,18 @@
 	return n
 }
 
+// heldKey returns a key that the server holds; negative if it holds none.
+func (s *server) heldKey() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.holds {
+		if time.Now().Before(s.holds[i].until) {
+			return i * sliceKeys
+		}
+	}
+	return -1
+}
+
 // post sends a call to the control address of the node.
 func (s *server) post(call string, message map[string]any) ([]byte, bool) {
 	text, err := json.Marshal(message)
@@ -340,10 +336,3 @@
 	decoded, err := body.CBOR.ToJSON(answer)
 	return decoded, err == nil
 }
-
-// ownerWatch checks that no two servers hold a slice.
-type ownerWatch interface {
-	granted(s *server, slice int, fence int64)
-}
-
-var watch ownerWatch
