--- a/review/cases-2/deployment.go
+++ b/review/cases-2/deployment.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -199,10 +199,19 @@
 	return l
 }
 
-// freeAddress returns a free address with a port below those that the kernel gives to outgoing connections.
+const (
+	// firstPort, blockPorts and blocks describe the ports of the nodes, below those that the kernel gives to outgoing
+	// connections. Each process of the review takes its ports from one of the blocks.
+	firstPort, blockPorts, blocks = 12000, 100, 190
+)
+
+var lastPort atomic.Int64
+
+// freeAddress returns an address with a port that is free and was not returned before.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		port := firstPort + os.Getpid()%blocks*blockPorts + int(lastPort.Add(1))%blockPorts
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
 			return address
--- a/review/cases-2/owners.go
+++ b/review/cases-2/owners.go
@@ -74,6 +74,11 @@
 	if trouble {
 		real := check.servers[0]
 		foreign := &server{id: "i-0000beef", node: real.node}
+		// It comes soon after a heartbeat of the real server, which then holds its keys for a while.
+		for last := real.sequence(); real.sequence() == last; {
+			watchFor(20 * time.Millisecond)
+		}
+		watchFor(50 * time.Millisecond)
 		_, ok := foreign.post("instances.heartbeat", map[string]any{
 			"addr": real.address, "born": time.Now().UnixMilli(),
 			"info":   map[string]any{"service": real.service, "slots": real.slots},
--- a/review/cases-2/server.go
+++ b/review/cases-2/server.go
@@ -292,6 +292,13 @@
 	_ = s.listener.Close()
 }
 
+// sequence returns the number of the last heartbeat.
+func (s *server) sequence() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seq
+}
+
 // heldSlices returns the number of slices that the server holds.
 func (s *server) heldSlices() int {
 	s.mu.Lock()
