node/h1: an answer without a length that is reset during the upload is not whole

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got the part as a complete answer, with a Content-Length made up by the node or, above 128 KiB, with the last chunk.

Cause: the kernel reports the error of a connection once. While the body is still being written, the write often gets ECONNRESET; the read that follows gets EOF, as from a server that has closed its side, and the body of an answer without a length ends with EOF. The sender closes the connection right after its failed write, but the read comes before that.

Why the fix works: each write of a connection records its error under a lock. At the end of a body without a length the reader ends a write that is waiting, takes the lock and so sees the error that a write has got, before it says that the body is whole.

--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -104,6 +105,9 @@
 	// purpose is that of the present call, and sent and received the bytes of it.
 	purpose        string
 	sent, received atomic.Int64
+	// writing is held during a write. writeErr is the error of the first write that failed.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // Read implements io.Reader.
@@ -115,11 +119,27 @@
 
 // Write implements io.Writer.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
 	c.sent.Add(int64(n))
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
 	return n, err
 }
 
+// wasReset reports whether a connection whose reads have reached EOF was reset or lost before the server closed its
+// side. The kernel reports the error of a connection once: if a write gets it, reads end with EOF. A write that fails
+// behind the server's FIN fails with EPIPE instead.
+func (c *conn) wasReset() bool {
+	// A write that is waiting ends now; one that has got the error keeps it.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr != nil && !errors.IsAny(c.writeErr, syscall.EPIPE, os.ErrDeadlineExceeded)
+}
+
 // reportTransfer reports the bytes of the call that has ended.
 func (c *conn) reportTransfer() {
 	sent, received := c.sent.Swap(0), c.received.Swap(0)
@@ -172,7 +192,10 @@
 		c.closeConn()
 		return nil, sender.markIfNotSent(err)
 	}
-	response.Body = &answerBody{ReadCloser: response.Body, conn: c, stop: stop, sender: sender, reusable: c.canReuse(response)}
+	response.Body = &answerBody{
+		ReadCloser: response.Body, conn: c, stop: stop, sender: sender,
+		unframed: !isFramed(response), reusable: c.canReuse(response),
+	}
 	return response, nil
 }
 
@@ -213,8 +236,12 @@
 // until which it may stay idle.
 func (c *conn) canReuse(response *http.Response) bool {
 	c.expires = time.Now().Add(keepAliveTimeout(response.Header.Get("Keep-Alive"), c.pool.options.IdleTimeout))
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return !response.Close && framed
+	return !response.Close && isFramed(response)
+}
+
+// isFramed reports whether the answer itself marks the end of its body. Otherwise the body ends with the connection.
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
 // answerBody is an answer's body. Close returns the connection to the pool if the body was read to
@@ -224,6 +251,7 @@
 	conn      *conn
 	stop      func() bool
 	sender    *sender
+	unframed  bool
 	reusable  bool
 	atEOF     bool
 	closeOnce sync.Once
@@ -232,9 +260,13 @@
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.atEOF = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if b.unframed && b.conn.wasReset() {
+		return n, errors.Wrap(io.ErrUnexpectedEOF, "connection reset during an answer without a length")
+	}
+	b.atEOF = true
 	return n, err
 }
 
@@ -360,10 +392,14 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial()
 	}
+	return p.newConn(connection, address), nil
+}
+
+func (p *Pool) newConn(connection net.Conn, address string) *conn {
 	c := &conn{Conn: connection, pool: p, address: address}
 	c.limit = &headLimit{reader: c}
 	c.reader = bufio.NewReaderSize(c.limit, readBufferBytes)
-	return c, nil
+	return c
 }
 
 func (p *Pool) setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/standin/hostile/target_test.go
+++ b/standin/hostile/target_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"path"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -83,6 +84,10 @@
 // serve reads the request to its end and answers with as many bytes as the end of its path names.
 func (x *target) serve(w http.ResponseWriter, r *http.Request) {
 	x.served.Add(1)
+	if answer, found := brokenAnswers[path.Base(r.URL.Path)]; found {
+		answer.send(w, r)
+		return
+	}
 	h := w.Header()
 	h.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	h.Set("X-Instance-Id", x.id)
