node/h1: an answer with a blank in the name of a field is no answer

What callers saw: a target in trouble sent a success in whose head the name of a field held a blank. The caller got a success without that field; where the field was "Content-Length " or "Transfer-Encoding ", the body was everything up to the end of the connection, chunk sizes included.

Cause: http.ReadResponse accepts blanks in the name of a field (for old servers with a blank before the colon) and keeps such a field under that name, which frames nothing. It rejects control bytes and other characters that names may not have.

Why the fix works: every name of a head is checked against the token rule of HTTP (httpguts), also those of interim answers and of dropped ones. The outcome of the request is then unknown, as for other bytes that are no answer, and the connection is closed.

--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -51,6 +51,8 @@
 	ErrHeadTooLarge = errors.New("head of the answer is too large")
 	// ErrInvalidStatus reports an answer whose status code is outside the range of HTTP.
 	ErrInvalidStatus = errors.New("invalid status code")
+	// ErrInvalidHead reports an answer whose head has a field name that HTTP does not allow.
+	ErrInvalidHead = errors.New("invalid head of an answer")
 	// ErrMismatchedAnswer reports a connection that returned answers to other requests.
 	ErrMismatchedAnswer = errors.New("connection returned answers to other requests")
 )
@@ -206,6 +208,9 @@
 	c.limit.begin()
 	for dropped := 0; ; {
 		response, err := http.ReadResponse(c.reader, call.Request)
+		if err == nil {
+			err = checkFieldNames(response.Header)
+		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
--- a/standin/hostile/broken_test.go
+++ b/standin/hostile/broken_test.go
@@ -30,6 +30,15 @@
 var brokenAnswers = map[string]brokenAnswer{
 	"reset":      {text: sealed + "\r\n" + strings.Repeat("x", 1000), reset: true},
 	"reset-long": {text: sealed + "\r\n" + strings.Repeat("x", 200_000), reset: true},
+
+	"blank-in-name":        {text: sealed + "Content-Length: 2\r\nX Y: z\r\n\r\nno"},
+	"blank-behind-length":  {text: sealed + "Content-Length : 2\r\n\r\nno more"},
+	"blank-behind-coding":  {text: sealed + "Transfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
+	"blank-before-first":   {text: strings.Replace(sealed, "X-", " X-Y: z\r\nX-", 1) + "Content-Length: 2\r\n\r\nno"},
+	"tab-in-name":          {text: sealed + "Content-Length: 2\r\nX\tY: z\r\n\r\nno"},
+	"control-byte-in-name": {text: sealed + "Content-Length: 2\r\nX\x01Y: z\r\n\r\nno"},
+	"cr-in-name":           {text: sealed + "Content-Length: 2\r\nX\rY: z\r\n\r\nno"},
+	"nul-in-name":          {text: sealed + "Content-Length: 2\r\nX\x00Y: z\r\n\r\nno"},
 }
 
 func (b brokenAnswer) send(w http.ResponseWriter, r *http.Request) {
@@ -112,3 +121,17 @@
 	}
 	d.awaitOrdinary("after the broken answers")
 }
+
+// TestAnswerWithABrokenHeadDoesNotLookWhole guards against delivering an answer in whose head the name of a field has a
+// blank or a control byte: the field is not the one that the target meant, and the body may not be either.
+func TestAnswerWithABrokenHeadDoesNotLookWhole(t *testing.T) {
+	d := newDeployment(t, smallest)
+	for _, path := range []string{"/book/", "/look/", "/read/", "/up/"} {
+		for name, answer := range brokenAnswers {
+			if !answer.reset {
+				expectBroken(t, path+name, exchangeBytes(t, d, d.head("GET", path+name), 0))
+			}
+		}
+	}
+	d.awaitOrdinary("after the broken answers")
+}
