node/h1: an answer with a folded line in its head is no answer

What callers saw: a target in trouble sent a success with a blank or a tab before the name of a field. The caller got a success whose field before it, in the test the seal, had that line added to its value, and whose body was everything up to the end of the connection, because the line had named the length.

Cause: http.ReadResponse joins a line that begins with a blank to the value before it, as the folding that HTTP has made obsolete. The parsed head does not show it.

Evidence: on the code before, 3 of the 8 rows with such a line of TestAnswerWithAnInvalidFieldNameIsRejected were read as answers; in the others the joined value was a length that is none. With real processes 8 of 8 answers (TestAnswerWithABrokenHeadDoesNotLookWhole, a blank and a tab, 4 routes) looked whole.

Why the fix works: a head is looked through in the reader's buffer before it is parsed, as soon as it has arrived. A proxy may reject such an answer (RFC 9112, section 5.2). A head that is longer than the buffer gets a buffer of its own until the connection is idle again, so the bounds of heads stay as they were.

--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -51,7 +51,7 @@
 	ErrHeadTooLarge = errors.New("head of the answer is too large")
 	// ErrInvalidStatus reports an answer whose status code is outside the range of HTTP.
 	ErrInvalidStatus = errors.New("invalid status code")
-	// ErrInvalidHead reports an answer whose head has a field name that HTTP does not allow.
+	// ErrInvalidHead reports an answer whose head has a field name or a folded line that HTTP does not allow.
 	ErrInvalidHead = errors.New("invalid head of an answer")
 	// ErrMismatchedAnswer reports a connection that returned answers to other requests.
 	ErrMismatchedAnswer = errors.New("connection returned answers to other requests")
@@ -207,6 +207,9 @@
 func (c *conn) readAnswer(call Call) (*http.Response, error) {
 	c.limit.begin()
 	for dropped := 0; ; {
+		if err := c.awaitHead(); err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
 		response, err := http.ReadResponse(c.reader, call.Request)
 		if err == nil {
 			err = checkFieldNames(response.Header)
@@ -297,6 +300,7 @@
 		c.closeConn()
 		return
 	}
+	c.restoreReader()
 	c.reportTransfer()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/h1/head_test.go
+++ b/node/h1/head_test.go
@@ -37,7 +37,8 @@
 }
 
 // TestAnswerWithAnInvalidFieldNameIsRejected guards against delivering an answer whose head is broken.
-// http.ReadResponse accepts blanks in the name of a field, which then does not frame the body.
+// http.ReadResponse accepts blanks in the name of a field, which then does not frame the body, and joins a line that
+// begins with a blank to the field before it.
 func TestAnswerWithAnInvalidFieldNameIsRejected(t *testing.T) {
 	const begin = "HTTP/1.1 200 OK\r\nId: ID\r\n"
 	long := "A: " + strings.Repeat("x", 2*readBufferBytes) + "\r\n"
@@ -47,8 +48,16 @@
 		"blank behind the length":         begin + "Content-Length : 2\r\n\r\nno",
 		"blank behind the coding":         begin + "Content-Length: 12\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 		"blank in the name of the coding": begin + "Content-Length: 12\r\nTransfer- Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"blank before a name":             begin + "Content-Length: 2\r\n X: y\r\n\r\nno",
+		"tab before a name":               begin + "Content-Length: 2\r\n\tX: y\r\n\r\nno",
+		"blank before the first name":     "HTTP/1.1 200 OK\r\n X: y\r\nId: ID\r\nContent-Length: 2\r\n\r\nno",
+		"blank before a name, bare LF":    "HTTP/1.1 200 OK\nId: ID\nContent-Length: 2\n X: y\n\nno",
+		"blank alone on a line":           begin + "Content-Length: 2\r\n \r\n\r\nno",
 		"blank in a long head":            begin + "Content-Length: 2\r\n" + long + "X Y: z\r\n\r\nno",
+		"blank before a name, long head":  begin + "Content-Length: 2\r\n" + long + " X: y\r\n\r\nno",
 		"blank in an interim head":        "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + begin + "Content-Length: 2\r\n\r\nno",
+		"blank before an interim name":    "HTTP/1.1 103 Early Hints\r\nX: y\r\n Z: z\r\n\r\n" + begin + "Content-Length: 2\r\n\r\nno",
+		"blank behind an interim head":    "HTTP/1.1 103 Early Hints\r\n\r\n" + begin + "Content-Length: 2\r\n X: y\r\n\r\nno",
 		"blank in another answer's head":  "HTTP/1.1 200 OK\r\nId: q\r\nContent-Length: 2\r\nX Y: z\r\n\r\nno" + begin + "Content-Length: 2\r\n\r\nno",
 		"tab in a name":                   begin + "Content-Length: 2\r\nX\tY: z\r\n\r\nno",
 		"tab behind the length":           begin + "Content-Length\t: 2\r\n\r\nno",
--- a/standin/hostile/broken_test.go
+++ b/standin/hostile/broken_test.go
@@ -34,6 +34,8 @@
 	"blank-in-name":        {text: sealed + "Content-Length: 2\r\nX Y: z\r\n\r\nno"},
 	"blank-behind-length":  {text: sealed + "Content-Length : 2\r\n\r\nno more"},
 	"blank-behind-coding":  {text: sealed + "Transfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
+	"blank-before-name":    {text: sealed + " Content-Length: 2\r\n\r\nno more"},
+	"tab-before-name":      {text: sealed + "\tContent-Length: 2\r\n\r\nno more"},
 	"blank-before-first":   {text: strings.Replace(sealed, "X-", " X-Y: z\r\nX-", 1) + "Content-Length: 2\r\n\r\nno"},
 	"tab-in-name":          {text: sealed + "Content-Length: 2\r\nX\tY: z\r\n\r\nno"},
 	"control-byte-in-name": {text: sealed + "Content-Length: 2\r\nX\x01Y: z\r\n\r\nno"},
