node/pipeline: a cut answer without a length is cut by a reset

What callers saw: an answer above 128 KiB without a length was cut after its first part, and the connection of a caller that speaks HTTP/1.0 was closed behind it. For such a caller, who gets no chunks, the close ends the answer: the part looked whole.

Cause: pipeline aborts a response by closing the connection, which ends a response whose end is that of the connection like any other.

Why the fix works: a response that was begun without a length and without chunks is the only one on its connection that may still be under way, and its connection is now reset, which is no end. Others are aborted as before: a reset can cost callers answers that they have not read yet.

--- a/node/pipeline/connection.go
+++ b/node/pipeline/connection.go
@@ -424,6 +424,13 @@
 	_ = c.Close()
 }
 
+// resetOnClose makes the close of the connection a reset, so that it does not end a response without a length.
+func (c *connection) resetOnClose() {
+	if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+}
+
 // linger closes the write side and discards what the client still sends for up to lingerTimeout. A
 // connection closed with unread data is reset, which can lose the last response.
 func (c *connection) linger() {
--- a/node/pipeline/exchange.go
+++ b/node/pipeline/exchange.go
@@ -82,6 +82,9 @@
 	x.settle()
 	<-x.previousDone
 	if aborted || x.writeErr != nil {
+		if x.started && !x.chunked && x.header.Get("Content-Length") == "" {
+			x.connection.resetOnClose()
+		}
 		x.connection.abort()
 		return
 	}
--- a/node/pipeline/pipeline_test.go
+++ b/node/pipeline/pipeline_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// TestAbortedAnswerToAnHTTP10ClientDoesNotLookWhole guards against closing the connection of a client without chunks,
+// which takes that for the end of an answer without a length.
+func TestAbortedAnswerToAnHTTP10ClientDoesNotLookWhole(t *testing.T) {
+	_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedBytes))
+		panic(http.ErrAbortHandler)
+	})
+	c := dial(t, address)
+	_, _ = io.WriteString(c, "GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+	if _, got, err := c.readResponse(); err == nil {
+		t.Errorf("%d bytes read without an error", len(got))
+	}
+}
+
 // TestLongAnswerWithoutALength checks that a response above the buffer size without a
 // Content-Length arrives complete and leaves the connection usable.
 func TestLongAnswerWithoutALength(t *testing.T) {
