node/target: an answer without a final status is not forwarded

What callers saw, of `auburnrelay node`: a target in trouble sent an answer whose status was 000. The caller's connection was closed without an answer, because net/http panics for such a status, while the node counted the request as answered. 600 and 999 reached the caller as they were, as did 101.

The check was in node/h1 only, and node/target reads answers with http.Transport.

Why the fix works: node/target checks the status, with the function of node/h1, before anything else of the answer is believed, and ends the request with the outcome unknown and a reason of its own, malformed-answer.

Also a test for what node/target handles already: an answer without a length, with and without a reset during the upload, is not forwarded (unframed-answer).

--- a/cmd/auburnrelay/explain/explain.go
+++ b/cmd/auburnrelay/explain/explain.go
@@ -77,6 +77,7 @@
 	"target-lost":        "the connection to the target broke while it may have run the request",
 	"truncated":          "the target's answer broke off",
 	"crossed-answer":     "the target's answer belonged to another request or had no signature",
+	"malformed-answer":   "the target's answer had a status or a head that HTTP does not allow",
 	"home":               "nothing in the home regions of the route could serve the request: the key's owner is in another region, or no target there was ready; see 'table written' and 'target left'",
 	"evacuated":          "the target's failure domain is evacuated and its keys have not moved yet; see 'evacuation began' and 'table written'",
 	"peer-unreachable":   "no connection to the target's node could be opened; see 'lease revoked' and 'node restarted' of that node",
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -125,6 +125,8 @@
 	ReasonEvacuated Reason = "evacuated"
 	// ReasonUnframed means that the target's answer has no framing that marks its end.
 	ReasonUnframed Reason = "unframed-answer"
+	// ReasonMalformed means that the target's answer has a status or a head that HTTP does not allow.
+	ReasonMalformed Reason = "malformed-answer"
 )
 
 // End is the outcome of a request with its reason.
--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -217,12 +217,12 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if !isValidStatus(response.StatusCode) {
-			return nil, errors.Wrapf(ErrInvalidStatus, "read answer: status %q", response.Status)
-		}
 		if response.StatusCode/100 == 1 {
 			continue
 		}
+		if !IsFinalStatus(response.StatusCode) {
+			return nil, errors.Wrapf(ErrInvalidStatus, "read answer: status %q", response.Status)
+		}
 		c.limit.end()
 		if call.Match == nil || call.Match(response) {
 			return response, nil
@@ -236,9 +236,10 @@
 	}
 }
 
-// isValidStatus reports whether HTTP defines the class of a status code (RFC 9110, section 15). http.ReadResponse
-// accepts any number of three characters, also 000 and +06. The rest of such an answer cannot be trusted.
-func isValidStatus(code int) bool { return code >= 100 && code <= 599 }
+// IsFinalStatus reports whether HTTP defines the class of a status code and the class ends an exchange (RFC 9110,
+// section 15). http.ReadResponse accepts any number of three characters, also 000 and +06. The rest of an answer with
+// such a status cannot be trusted.
+func IsFinalStatus(code int) bool { return code >= 200 && code <= 599 }
 
 // canReuse reports whether the connection can be reused after the answer, and sets the time
 // until which it may stay idle.
--- /dev/null
+++ b/node/target/broken_test.go
@@ -0,0 +1,60 @@
+package target
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+)
+
+// callRaw calls a target that sends the bytes and then ends the connection. It returns the result and what was forwarded.
+func callRaw(t *testing.T, call Call, answer string, reset bool) (CallResult, *headSink) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, _ := http.NewResponseController(w).Hijack()
+		defer c.Close()
+		_, _ = io.WriteString(c, answer)
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}))
+	defer server.Close()
+	link := newTestLink(t)
+	announce(link, announcement(1, serverAddress(server)))
+	sink := &headSink{}
+	return link.Call(t.Context(), call, sink), sink
+}
+
+// expectMalformed fails the test if an answer is forwarded or its request is said not to have run.
+func expectMalformed(t *testing.T, name, answer string) {
+	t.Helper()
+	result, sink := callRaw(t, newCall(http.MethodGet), answer, false)
+	if result.Outcome != outcome.Unknown || sink.begun {
+		t.Errorf("%s: %v, forwarded %t, want an unknown outcome", name, result.End, sink.begun)
+	}
+}
+
+// TestAnswerWithAnInvalidStatusIsNotForwarded guards against passing on a status that HTTP does not define. The server
+// for callers panics for some of them.
+func TestAnswerWithAnInvalidStatusIsNotForwarded(t *testing.T) {
+	for _, status := range []string{"000", "-00", "001", "099", "101", "+06", "+20", "600", "999", "0200", "20", ""} {
+		expectMalformed(t, status, "HTTP/1.1 "+status+" x\r\nContent-Length: 2\r\n\r\nno")
+		expectMalformed(t, status+", refusal", "HTTP/1.1 "+status+" x\r\n"+HeaderNotRun+": shed\r\nContent-Length: 2\r\n\r\nno")
+	}
+}
+
+// TestUnframedAnswerIsNotForwarded guards against delivering a part of an answer without a length that is reset during
+// the upload.
+func TestUnframedAnswerIsNotForwarded(t *testing.T) {
+	for _, answer := range []string{"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.0 200 OK\r\n\r\npart"} {
+		call := newCall(http.MethodPost)
+		call.Request.Body = bytes.Repeat([]byte("x"), 8<<20)
+		if result, sink := callRaw(t, call, answer, true); result.Outcome != outcome.Unknown || sink.begun {
+			t.Errorf("%.8s: %v, forwarded %t, want an unknown outcome", answer, result.End, sink.begun)
+		}
+	}
+}
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnrelay/auburnrelay/core/fence"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/h1"
 	"github.com/auburnrelay/auburnrelay/node/plane"
 )
 
@@ -156,6 +157,9 @@
 
 // forwardAnswer forwards an answer to sink and classifies the call.
 func (l *Link) forwardAnswer(ctx context.Context, call Call, info Info, response *http.Response, sink plane.Sink) CallResult {
+	if !h1.IsFinalStatus(response.StatusCode) {
+		return unknown(outcome.ReasonMalformed)
+	}
 	if reason, refused := refusalReason(response); refused {
 		_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
 		result := notRun(reason)
--- a/node/target/target_test.go
+++ b/node/target/target_test.go
@@ -61,9 +61,13 @@
 }
 
 // headSink is a sink that keeps only the head of the answer.
-type headSink struct{ head plane.Head }
+type headSink struct {
+	head plane.Head
+	// begun is set once an answer has been begun.
+	begun bool
+}
 
-func (s *headSink) Head(head plane.Head) error { s.head = head; return nil }
+func (s *headSink) Head(head plane.Head) error { s.head, s.begun = head, true; return nil }
 func (s *headSink) Write([]byte) error         { return nil }
 
 // TestTransportDoesNotReplay closes a reused connection after the request has run. net/http
