node/target: an answer with a blank in the name of a field is not forwarded

Where the name was "Transfer-Encoding " beside a length, the body had the chunk sizes in it. A refusal with such a head was believed.

Cause: the same, http.ReadResponse accepts blanks in names; node/target reads answers with http.Transport.

Why the fix works: the names are checked with the function of node/h1 before anything else of the answer is believed. A folded line cannot be seen behind http.Transport, but here it cannot hide the end of a body: an answer without a length or chunks is not forwarded.

--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -212,7 +212,7 @@
 		}
 		response, err := http.ReadResponse(c.reader, call.Request)
 		if err == nil {
-			err = checkFieldNames(response.Header)
+			err = CheckFieldNames(response.Header)
 		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
--- a/node/h1/head.go
+++ b/node/h1/head.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// checkFieldNames fails with ErrInvalidHead if the name of a field has a character that HTTP does not allow there.
+// CheckFieldNames fails with ErrInvalidHead if the name of a field has a character that HTTP does not allow there.
 // http.ReadResponse accepts blanks.
-func checkFieldNames(h http.Header) error {
+func CheckFieldNames(h http.Header) error {
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.Wrapf(ErrInvalidHead, "field name %q", name)
--- a/node/target/broken_test.go
+++ b/node/target/broken_test.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// TestAnswerWithAnInvalidFieldNameIsNotForwarded guards against delivering an answer whose head is broken.
+// http.ReadResponse accepts blanks in the name of a field.
+func TestAnswerWithAnInvalidFieldNameIsNotForwarded(t *testing.T) {
+	for _, line := range []string{
+		"X Y: z", "X : z", " X: z", "Transfer-Encoding : chunked", "Transfer- Encoding: chunked", "X\tY: z", "X\x00Y: z", "X\rY: z", "X\x7f: z", ": z",
+	} {
+		expectMalformed(t, line, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+line+"\r\n\r\nno")
+		expectMalformed(t, line+", refusal", "HTTP/1.1 503 x\r\n"+HeaderNotRun+": shed\r\nContent-Length: 2\r\n"+line+"\r\n\r\nno")
+	}
+	expectMalformed(t, "length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nno")
+	expectMalformed(t, "folded length", "HTTP/1.1 200 OK\r\nX: y\r\n Content-Length: 2\r\n\r\nno")
+}
+
 // TestUnframedAnswerIsNotForwarded guards against delivering a part of an answer without a length that is reset during
 // the upload.
 func TestUnframedAnswerIsNotForwarded(t *testing.T) {
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -157,7 +157,7 @@
 
 // forwardAnswer forwards an answer to sink and classifies the call.
 func (l *Link) forwardAnswer(ctx context.Context, call Call, info Info, response *http.Response, sink plane.Sink) CallResult {
-	if !h1.IsFinalStatus(response.StatusCode) {
+	if !h1.IsFinalStatus(response.StatusCode) || h1.CheckFieldNames(response.Header) != nil {
 		return unknown(outcome.ReasonMalformed)
 	}
 	if reason, refused := refusalReason(response); refused {
