client: an answer that ends with its connection is not taken for whole

What callers saw: nothing yet, found while looking at every place that reads an answer for the incident of broken answers. A response that says "answered" and has neither a length nor chunks, which no node sends, was read to the end of its connection as an answer.

Cause: as in node/h1: the write of the body gets the connection's error, and the read of the answer its end.

Why the fix works: what a node sends marks its end (docs/INTERFACE.md: the outcome stands in the head or in the trailer of a streamed answer), so a response without such a mark has an unknown outcome; no part of it is delivered.

--- a/client/answer.go
+++ b/client/answer.go
@@ -75,6 +75,8 @@
 		owner:      resp.Header.Get(headerOwner),
 	}
 	switch text := resp.Header.Get(headerOutcome); {
+	case text == Answered.String() && !isFramed(resp):
+		answer.Outcome, answer.Reason = Unknown, "unframed-answer"
 	case streamed || text == Answered.String():
 		answer.Outcome = Answered
 		answer.Body = &answerBody{resp: resp, answer: answer, streamed: streamed}
@@ -88,6 +90,14 @@
 	return answer
 }
 
+// isFramed reports whether a response itself marks the end of its body. A body that ends with the connection cannot be
+// told from a part of it: if the connection is reset while the request's body is being written, the write may get the
+// error, and the read just the end. Compressed bodies and the streams of HTTP/2 mark their end, too.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed || resp.ProtoMajor >= 2 ||
+		resp.Request.Method == http.MethodHead
+}
+
 func retryAfter(text string) time.Duration {
 	seconds, err := strconv.Atoi(text)
 	if err != nil {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -23,6 +23,17 @@
 			w.WriteHeader(status)
 		}
 	}
+	raw := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			_, _ = io.WriteString(c, text)
+		}
+	}
 	cases := []struct {
 		name      string
 		node      http.HandlerFunc
@@ -64,6 +75,7 @@
 		{"no outcome", refuse(502, "", ""), Unknown, "", "", false},
 		{"connection aborted", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 			Unknown, "connection-lost", "", false},
+		{"without a length or chunks", raw("HTTP/1.1 200 OK\r\n" + headerOutcome + ": answered\r\n\r\npart"), Unknown, "unframed-answer", "", false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
