client: an answer with an invalid head has an unknown outcome

A response whose status was 000 or 600, or in whose head the name of a field held a blank, was an answer or a certain "not run".

Cause: net/http accepts any number of three characters as a status, and blanks in the names of fields; the client believed the headers beside them.

Why the fix works: the status and the names are checked before the outcome and the owner that the head names are used.

--- a/client/answer.go
+++ b/client/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,6 +76,8 @@
 		owner:      resp.Header.Get(headerOwner),
 	}
 	switch text := resp.Header.Get(headerOutcome); {
+	case !isValidHead(resp):
+		answer.Outcome, answer.Reason, answer.owner = Unknown, "malformed-answer", ""
 	case text == Answered.String() && !isFramed(resp):
 		answer.Outcome, answer.Reason = Unknown, "unframed-answer"
 	case streamed || text == Answered.String():
@@ -90,6 +93,17 @@
 	return answer
 }
 
+// isValidHead reports whether the status ends an exchange and the names of all fields are valid. net/http accepts any
+// number of three characters as a status, and blanks in names but nothing else that they may not have.
+func isValidHead(resp *http.Response) bool {
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return false
+		}
+	}
+	return resp.StatusCode >= 200 && resp.StatusCode <= 599
+}
+
 // isFramed reports whether a response itself marks the end of its body. A body that ends with the connection cannot be
 // told from a part of it: if the connection is reset while the request's body is being written, the write may get the
 // error, and the read just the end. Compressed bodies and the streams of HTTP/2 mark their end, too.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -76,6 +76,11 @@
 		{"connection aborted", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 			Unknown, "connection-lost", "", false},
 		{"without a length or chunks", raw("HTTP/1.1 200 OK\r\n" + headerOutcome + ": answered\r\n\r\npart"), Unknown, "unframed-answer", "", false},
+		{"status 000", raw("HTTP/1.1 000 x\r\n" + headerOutcome + ": answered\r\nContent-Length: 2\r\n\r\nno"), Unknown, "malformed-answer", "", false},
+		{"status 600, not run", raw("HTTP/1.1 600 x\r\n" + headerOutcome + ": not-run\r\nContent-Length: 2\r\n\r\nno"), Unknown, "malformed-answer", "", false},
+		{"blank in a name", raw("HTTP/1.1 200 OK\r\n" + headerOutcome + ": answered\r\nX Y: z\r\nContent-Length: 2\r\n\r\nno"), Unknown, "malformed-answer", "", false},
+		{"blank in a name, not run", raw("HTTP/1.1 503 x\r\n" + headerOutcome + ": not-run\r\nX : z\r\nContent-Length: 2\r\n\r\nno"), Unknown, "malformed-answer", "", false},
+		{"control byte in a name", raw("HTTP/1.1 200 OK\r\n" + headerOutcome + ": answered\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\nno"), Unknown, "connection-lost", "", false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
