standin/hostile: answers without a valid status reach no caller of real processes

The test of broken heads now sends it through `auburnrelay sidecar` too, with and without a seal, and 600.

--- a/standin/hostile/broken_test.go
+++ b/standin/hostile/broken_test.go
@@ -34,6 +34,10 @@
 
 	"cut": {text: sealed + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + strings.Repeat("x", 200_000)},
 
+	"status-000":   {text: strings.Replace(sealed, "200 OK", "000 x", 1) + "Content-Length: 2\r\n\r\nno"},
+	"status-600":   {text: strings.Replace(sealed, "200 OK", "600 x", 1) + "Content-Length: 2\r\n\r\nno"},
+	"unsealed-000": {text: "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nno"},
+
 	"blank-in-name":        {text: sealed + "Content-Length: 2\r\nX Y: z\r\n\r\nno"},
 	"blank-behind-length":  {text: sealed + "Content-Length : 2\r\n\r\nno more"},
 	"blank-behind-coding":  {text: sealed + "Transfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"},
@@ -131,8 +135,8 @@
 	d.awaitOrdinary("after the broken answers")
 }
 
-// TestAnswerWithABrokenHeadDoesNotLookWhole guards against delivering an answer in whose head the name of a field has a
-// blank or a control byte: the field is not the one that the target meant, and the body may not be either.
+// TestAnswerWithABrokenHeadDoesNotLookWhole guards against delivering an answer whose status HTTP does not define or in
+// whose head the name of a field has a blank or a control byte: the body may not be the one that the target meant.
 func TestAnswerWithABrokenHeadDoesNotLookWhole(t *testing.T) {
 	d := newDeployment(t, smallest)
 	for _, path := range []string{"/book/", "/look/", "/read/", "/up/"} {
