node/target: a target's answer about its calls with an invalid head is not believed

A target in trouble that answers the question for a call with the status 000, or with a blank in the name of a field, was believed when it said that the call never started; the caller is then told "not run" of a request that may have run. Its health and the grants that it takes were believed as well.

Cause: as for answers to calls, what http.Transport accepts was believed; the question for a call does not look at the status.

Why the fix works: all of these answers pass controlCall, which now checks the head as node/target does for calls.

--- a/node/target/broken_test.go
+++ b/node/target/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,8 +12,8 @@
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 )
 
-// callRaw calls a target that sends the bytes and then ends the connection. It returns the result and what was forwarded.
-func callRaw(t *testing.T, call Call, answer string, reset bool) (CallResult, *headSink) {
+// startRaw registers a target that sends the bytes to each request and then ends the connection.
+func startRaw(t *testing.T, answer string, reset bool) *Link {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		c, _, _ := http.NewResponseController(w).Hijack()
@@ -22,11 +23,17 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
 	}))
-	defer server.Close()
+	t.Cleanup(server.Close)
 	link := newTestLink(t)
 	announce(link, announcement(1, serverAddress(server)))
+	return link
+}
+
+// callRaw calls a target of startRaw and returns the result and what was forwarded.
+func callRaw(t *testing.T, call Call, answer string, reset bool) (CallResult, *headSink) {
+	t.Helper()
 	sink := &headSink{}
-	return link.Call(t.Context(), call, sink), sink
+	return startRaw(t, answer, reset).Call(t.Context(), call, sink), sink
 }
 
 // expectMalformed fails the test if an answer is forwarded or its request is said not to have run.
@@ -71,3 +78,35 @@
 		}
 	}
 }
+
+// TestBrokenControlAnswerIsNotBelieved guards against believing what a target in trouble says of its health, its grants
+// and its calls: above all, that a call never started.
+func TestBrokenControlAnswerIsNotBelieved(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":             "HTTP/1.1 000 x\r\nContent-Length: %d\r\n",
+		"status 600":             "HTTP/1.1 600 x\r\nContent-Length: %d\r\n",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: %d\r\n",
+		"blank behind a name":    "HTTP/1.1 200 OK\r\nContent-Length : %d\r\n",
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: %d\r\n",
+	} {
+		answer := func(text string) string { return fmt.Sprintf(head, len(text)) + "\r\n" + text }
+		link := startRaw(t, answer(`{"incarnation":1,"state":"ready"}`), false)
+		if health, err := link.fetchHealth(t.Context(), link.Info().Address); err == nil {
+			t.Errorf("%s: the health %+v is believed", name, health)
+		}
+		if _, err := startRaw(t, answer("{}"), false).PutGrants(t.Context(), nil, nil); err == nil {
+			t.Errorf("%s: the grants count as accepted", name)
+		}
+		if state := startRaw(t, answer(`{"state":"cancelled"}`), false).Cancel(t.Context(), "id", 1); state != CallUnknown {
+			t.Errorf("%s: the state %d of a call is believed", name, state)
+		}
+	}
+}
+
+// TestCutControlAnswerIsNotBelieved guards against believing the part of an answer that is reset behind it.
+func TestCutControlAnswerIsNotBelieved(t *testing.T) {
+	link := startRaw(t, "HTTP/1.1 200 OK\r\n\r\n"+`{"state":"cancelled"`, true)
+	if state := link.Cancel(t.Context(), "id", 1); state != CallUnknown {
+		t.Errorf("the state %d of a call is believed", state)
+	}
+}
--- a/node/target/call.go
+++ b/node/target/call.go
@@ -157,7 +157,7 @@
 
 // forwardAnswer forwards an answer to sink and classifies the call.
 func (l *Link) forwardAnswer(ctx context.Context, call Call, info Info, response *http.Response, sink plane.Sink) CallResult {
-	if !h1.IsFinalStatus(response.StatusCode) || h1.CheckFieldNames(response.Header) != nil {
+	if checkHead(response) != nil {
 		return unknown(outcome.ReasonMalformed)
 	}
 	if reason, refused := refusalReason(response); refused {
@@ -207,6 +207,15 @@
 	return result
 }
 
+// checkHead fails if http.Transport has accepted the head of an answer although HTTP does not allow it. Nothing of such an
+// answer is believed.
+func checkHead(response *http.Response) error {
+	if !h1.IsFinalStatus(response.StatusCode) {
+		return errors.Wrapf(h1.ErrInvalidStatus, "status %q", response.Status)
+	}
+	return h1.CheckFieldNames(response.Header)
+}
+
 // refusalReason reports whether the target refused the request without running any part of it, and
 // for which reason.
 func refusalReason(response *http.Response) (outcome.Reason, bool) {
--- a/node/target/control.go
+++ b/node/target/control.go
@@ -142,5 +142,8 @@
 		return errors.Wrap(err, "control request to the target")
 	}
 	defer response.Body.Close()
+	if err := checkHead(response); err != nil {
+		return errors.Wrap(err, "control request to the target")
+	}
 	return read(response)
 }
