--- a/node/hop/hop_test.go
+++ b/node/hop/hop_test.go
@@ -1,13 +1,17 @@
 package hop
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/auburnrelay/auburnrelay/core/balance"
 	"github.com/auburnrelay/auburnrelay/core/exchange"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/node/h1"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
 )
 
@@ -39,3 +43,32 @@
 		t.Errorf("answer %+v", got.Answer)
 	}
 }
+
+// TestBrokenAnswerOfANodeIsNotBelieved guards against taking an answer whose head HTTP does not allow for a statement of
+// the other node, above all that the request has not run.
+func TestBrokenAnswerOfANodeIsNotBelieved(t *testing.T) {
+	for _, said := range []outcome.Outcome{outcome.Answered, outcome.NotRun} {
+		fields := headerOutcome + ": " + said.String() + "\r\nContent-Length: 0\r\n"
+		for _, text := range []string{
+			"HTTP/1.1 000 x\r\n" + fields, "HTTP/1.1 200 OK\r\n" + fields + "X Y: z\r\n", "HTTP/1.1 200 OK\r\nX: y\r\n Z: z\r\n" + fields,
+			"HTTP/1.1 200 OK\r\n" + fields + "X\x01: z\r\n",
+		} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, text+"\r\n")
+			}))
+			client := NewClient(h1.NewPool(h1.Options{DialTimeout: time.Second, IdleTimeout: time.Second, UnackedTimeout: time.Second, MaxConns: 1}))
+			r := &relay.Request{Method: http.MethodGet, RequestURI: "/", Host: "a", Header: http.Header{}, Body: &relay.Body{}, Deadline: time.Now().Add(time.Minute)}
+			result := client.Send(t.Context(), r, ownership.Destination{Node: "vm-2", Address: server.Listener.Addr().String()})
+			if result.Outcome != outcome.Unknown {
+				t.Errorf("%q ends with %v (%s)", text, result.Outcome, result.Reason)
+			}
+			server.Close()
+		}
+	}
+}
