--- a/node/h1/h1.go
+++ b/node/h1/h1.go
@@ -5,7 +5,7 @@
 // next on the connection. This package sends a request once, and drops an answer to an earlier
 // request, as recognized by the caller's Match.
 //
-// Locks: Pool.mu is a leaf lock.
+// Locks: Pool.mu is a leaf lock. conn.writing is held during a write, under no other lock.
 package h1
 
 import (
