node/entry: a cut answer without a length is cut by a reset for HTTP/1.0 callers

What callers saw, of `auburnrelay node`: as in node/pipeline, a part of an answer without a length looked whole to a caller that speaks HTTP/1.0, who gets neither chunks nor the trailer that names the outcome.

Cause: http.ErrAbortHandler makes net/http close the connection, which is the end of such an answer.

Why the fix works: the connection of such an answer is taken over and reset before the abort. Answers with a length or chunks are aborted as before.

--- a/node/entry/answer.go
+++ b/node/entry/answer.go
@@ -17,6 +17,10 @@
 	w       http.ResponseWriter
 	owner   plane.Peer
 	started bool
+	// unframed is set if the answer ends with the connection: it has no length, and the caller takes no chunks.
+	unframed bool
+	// takesChunks is set unless the caller speaks HTTP/1.0.
+	takesChunks bool
 }
 
 // ServedBy implements Answer. The owner is sent in the field HeaderOwner.
@@ -41,6 +45,7 @@
 		fields.Set(HeaderOutcome, outcome.Answered.String())
 	} else {
 		fields.Set("Trailer", HeaderOutcome)
+		a.unframed = !a.takesChunks
 	}
 	a.w.WriteHeader(head.Status)
 	return nil
@@ -64,12 +69,27 @@
 	case a.started && result.Outcome == outcome.Answered:
 		a.w.Header().Set(HeaderOutcome, outcome.Answered.String())
 	case a.started:
+		if a.unframed {
+			a.reset()
+		}
 		panic(http.ErrAbortHandler)
 	default:
 		a.refuse(statusOf(result), result, "")
 	}
 }
 
+// reset resets the connection. Closing it would end an unframed answer like a complete one.
+func (a *httpAnswer) reset() {
+	connection, _, err := http.NewResponseController(a.w).Hijack()
+	if err != nil {
+		return
+	}
+	if lingerer, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
 func (a *httpAnswer) setOwner(fields http.Header) {
 	if a.owner.EntryAddress != "" {
 		fields.Set(HeaderOwner, a.owner.EntryAddress)
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -205,6 +205,22 @@
 	}
 }
 
+// TestCutAnswerToAnHTTP10CallerDoesNotLookWhole guards against closing the connection of a caller without chunks behind a
+// part of an answer without a length, which takes that for its end.
+func TestCutAnswerToAnHTTP10CallerDoesNotLookWhole(t *testing.T) {
+	cut := forward.Reply{Result: plane.Result{Outcome: outcome.Unknown, Reason: outcome.ReasonTruncated}, Started: true}
+	s := &scriptedDeps{owners: []plane.Peer{other}, replies: []forward.Reply{cut}}
+	conn, err := net.Dial("tcp", s.start(t).Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "GET /v1/booking/k HTTP/1.0\r\nHost: t\r\n\r\n")
+	if raw, err := io.ReadAll(conn); err == nil {
+		t.Errorf("got %q without an error", raw)
+	}
+}
+
 // TestTries returns a list of results for the sends of one request, and checks the response, the
 // number of sends and the counted outcome.
 func TestTries(t *testing.T) {
--- a/node/entry/http.go
+++ b/node/entry/http.go
@@ -51,7 +51,7 @@
 }
 
 func (h *Handler) handle(c echo.Context) error {
-	answer := &httpAnswer{w: c.Response()}
+	answer := &httpAnswer{w: c.Response(), takesChunks: c.Request().ProtoAtLeast(1, 1)}
 	if h.closing.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
