--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -276,6 +276,8 @@
 			} else if _, err := io.ReadAll(resp.Body); err != nil {
 				t.Errorf("incomplete answer: %v", err)
 			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if s.sends != c.sends {
 				t.Errorf("%d sends, want %d", s.sends, c.sends)
 			}
