standin/hostile: no port is tried twice for nodes that are being started

Cause: a test's ports are found by listening at random ones, for the second node while the first one has been started and does not listen yet; the search itself, or the second node, can then hold a port of the first.

Why the fix works: a port that was given to a node is not tried again in the process of the tests.

--- a/standin/hostile/deployment_test.go
+++ b/standin/hostile/deployment_test.go
@@ -217,19 +217,28 @@
 	ports     = 20_000
 )
 
-// freeAddresses returns addresses at which nothing listens.
+// portsGiven are the ports that freeAddresses has returned.
+var portsGiven = make(map[int]bool)
+
+// freeAddresses returns addresses at which nothing listens. It tries no port again that it has returned before: its own
+// listener, or another node, would keep the port from a node that has been started and does not listen yet.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
 	for tries := 0; len(addresses) < n; tries++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if tries > ports {
+			t.Fatal("no free port")
+		}
+		port := firstPort + rand.IntN(ports)
+		if portsGiven[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			if tries > ports {
-				t.Fatal(err)
-			}
 			continue
 		}
 		defer l.Close()
+		portsGiven[port] = true
 		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses
