node/pipeline, node/hop: a request that crosses the close of a stopping node has not run

What callers saw: with one node stopping, requests that another node sent to it just as it closed its idle connections were answered 502 (peer-lost), although they had not run: a booking that could have come again was lost to its caller.

Cause: Shutdown closes a kept connection without a request on it. A request that is on its way then is never read, and the sender sees the connection end, which may also mean that the request was taken.

Change: before the server for nodes closes an idle connection in Shutdown, it sends a response with the outcome "not run, stopping". A request that crosses it gets it as its answer, which is true: nothing is read from the connection any more. A connection on which nothing crosses is discarded by its pool, as before, since it has unread bytes. Shutdown waits 50 ms after that, so that the end of the process does not reset the connection before the response is read. Calls between nodes (votes, feeds, the store through a node) take any status but 200 for no answer, as before.

--- a/node/hop/hop.go
+++ b/node/hop/hop.go
@@ -252,6 +252,14 @@
 	return h
 }
 
+// ClosingHeader returns the headers of the response by which a node that stops ends an idle connection.
+func ClosingHeader() http.Header {
+	h := http.Header{}
+	h.Set(headerOutcome, outcome.NotRun.String())
+	h.Set(headerReason, string(outcome.ReasonStopping))
+	return h
+}
+
 // IsRequest reports whether the headers belong to a request forwarded by a node.
 func IsRequest(h http.Header) bool { return h.Get(headerNode) != "" }
 
--- a/node/pipeline/connection.go
+++ b/node/pipeline/connection.go
@@ -39,6 +39,10 @@
 	reading bool
 	// closing is set when no further request is read.
 	closing bool
+	// closedIdle is set when the connection was closed without a request on it, and toldAt is when the client was sent
+	// the response of Options.ClosingHeader; zero before.
+	closedIdle bool
+	toldAt     time.Time
 	// aborted is set once the connection has been closed at once.
 	aborted bool
 	// served is set once a request has been answered.
@@ -71,6 +75,7 @@
 	for c.serveNext(&group) {
 	}
 	group.Wait()
+	c.tellClosing()
 	c.cancel()
 	c.source.drop()
 	c.mu.Lock()
@@ -403,11 +408,44 @@
 	if c.pending > 0 || c.reading {
 		return false
 	}
+	c.closedIdle = c.closedIdle || !c.closing
 	c.closing = true
 	_ = c.SetReadDeadline(time.Now())
 	return true
 }
 
+// tellClosing sends the response of Options.ClosingHeader if the connection was closed without a request on it. No request
+// that arrives now is handled.
+func (c *connection) tellClosing() {
+	header := c.server.options.ClosingHeader
+	c.mu.Lock()
+	tell := c.closedIdle && header != nil
+	c.mu.Unlock()
+	if !tell {
+		return
+	}
+	response := http.Response{
+		StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Header: header, Body: http.NoBody, Close: true,
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(crossingTime))
+	// The write fails only if the client has disconnected.
+	_ = response.Write(c.Conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.toldAt = time.Now()
+}
+
+// mayBeCrossed reports whether a request that was sent before its client knew that the connection closes may still
+// arrive.
+func (c *connection) mayBeCrossed(now time.Time) bool {
+	if c.server.options.ClosingHeader == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closedIdle && (c.toldAt.IsZero() || now.Sub(c.toldAt) < crossingTime)
+}
+
 // stopReading stops the reading of further requests.
 func (c *connection) stopReading() {
 	c.mu.Lock()
--- a/node/pipeline/pipeline.go
+++ b/node/pipeline/pipeline.go
@@ -69,6 +69,10 @@
 	IDHeader string
 	// RefusalHeader is added to the responses by which the server itself refuses a request.
 	RefusalHeader http.Header
+	// ClosingHeader is the header of the response that Shutdown sends on each idle connection before it is closed. A
+	// client whose request crosses the close gets it as the answer and knows that the request is not handled. None is
+	// sent if it is nil.
+	ClosingHeader http.Header
 	// Reached is called when a client has reached a limit; it may be nil.
 	Reached func(Limit)
 }
@@ -185,6 +189,10 @@
 // use.
 const shutdownPollInterval = 20 * time.Millisecond
 
+// crossingTime is how long Shutdown waits after the responses of Options.ClosingHeader for the requests that cross them,
+// so that they are not reset by the end of the process. It exceeds the time between two regions.
+const crossingTime = 50 * time.Millisecond
+
 // Shutdown stops accepting connections, closes the idle ones and waits for the others until ctx
 // is done.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -206,13 +214,14 @@
 	}
 }
 
-// closeIdle closes the connections without requests and returns the number of the others.
+// closeIdle closes the connections without requests and returns the number of those that must be waited for.
 func (s *Server) closeIdle() int {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	busy := 0
 	for c := range s.connections {
-		if !c.closeIfIdle() {
+		if !c.closeIfIdle() || c.mayBeCrossed(now) {
 			busy++
 		}
 	}
--- a/node/sidecar/servers.go
+++ b/node/sidecar/servers.go
@@ -58,7 +58,8 @@
 			MinBytesPerSecond: d.settings.Limits.BytesPerSecond, IDHeader: platform.IDHeader, Reached: monitor.reached(listener),
 		}
 		if listener == "peers" {
-			o.HeaderBytes, o.HeaderFields, o.RefusalHeader = peerHeaderBytes, o.HeaderFields+peerHeaderFields, hop.RefusalHeader()
+			o.HeaderBytes, o.HeaderFields = peerHeaderBytes, o.HeaderFields+peerHeaderFields
+			o.RefusalHeader, o.ClosingHeader = hop.RefusalHeader(), hop.ClosingHeader()
 		}
 		return pipeline.New(h, o)
 	}
