node/guard, node/ingress: a stopping node takes only requests that end before it

What callers saw: nodes were stopped in turn.

Cause: the guard compared the time until the end with two latency objectives of the request. An objective says how soon callers want an answer, not how long a target may work; with 0.3 s, a request with 1.4 s left and 1.2 s of work was let through 1.1 s before the end.

Change: core/shutdown decides by the deadline, which bounds the work whatever the target does. A request with more time left than the whole stop is taken in the first half, as before; its keys would be refused throughout otherwise. The guard asks again before the send, since a request may have been queued before the stop. The node of the caller takes all in the first half of its stop and later what ends before it. Refusals are true, and their log line has both times.

In the stand-in, a node that finds one of its ports taken is started at others.

--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -19,6 +19,7 @@
 	"github.com/auburnrelay/auburnrelay/core/holding"
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/ratelimit"
+	"github.com/auburnrelay/auburnrelay/core/shutdown"
 	"github.com/auburnrelay/auburnrelay/core/slotqueue"
 	"github.com/auburnrelay/auburnrelay/node/budget"
 	"github.com/auburnrelay/auburnrelay/node/h1"
@@ -89,8 +90,7 @@
 	// reports is set if answers carry load reports.
 	reports bool
 	health  health
-	// stopAt is when the process ends, and stopBegan when that was announced; zero before.
-	stopAt, stopBegan time.Time
+	stop    shutdown.Period
 }
 
 // New returns a Guard for the gate's local target, which keeps the limits of cold targets.
@@ -111,8 +111,8 @@
 	if reason != outcome.ReasonNone {
 		return relay.NotRun(reason)
 	}
-	if g.endsTooSoon(r) {
-		return relay.NotRun(outcome.ReasonStopping)
+	if refusal, refused := g.refuseForStop(r); refused {
+		return refusal
 	}
 	g.adoptState(local, r.Known)
 	result := g.serveHealthy(ctx, r, local)
@@ -212,6 +212,12 @@
 		result.Detail = err.Error()
 		return result
 	}
+	// The process may have begun to stop while the request was queued or its body arrived.
+	if refusal, refused := g.refuseForStop(r); refused {
+		cancel()
+		g.endStart()
+		return refusal
+	}
 	outgoing := r.Outgoing()
 	g.codec.EncodeDelivery(outgoing.Header, exchange.Delivery{Target: local.ID, Timeout: remaining, CallerService: r.CallerService})
 	matchesRequest := func(answer *http.Response) bool {
--- a/node/guard/stop.go
+++ b/node/guard/stop.go
@@ -1,27 +1,35 @@
 package guard
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/shutdown"
 	"github.com/auburnrelay/auburnrelay/node/relay"
 )
 
-// StopAt tells the guard that the process ends at the given time and cuts the requests that are at work then.
-func (g *Guard) StopAt(end time.Time) {
+// Stop tells the guard that the process shuts down.
+func (g *Guard) Stop(p shutdown.Period) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stopAt, g.stopBegan = end, time.Now()
+	g.stop = p
 }
 
-// stopObjectives is the time before the end of the process, in latency objectives, in which requests are refused. With one
-// objective, requests at a slow target were cut after 1.2 s of work.
-const stopObjectives = 2
+// endMargin is how long after its deadline a request may still occupy the process: its call is kept open for
+// deadlineMargin, and the answer is then passed on.
+const endMargin = 2 * deadlineMargin
 
-// endsTooSoon reports whether the process may end before the request is answered: by its deadline or stopObjectives, and
-// only in the second half of the stop. Owners of keys get requests of other nodes while they stop, until
-// their listeners close.
-func (g *Guard) endsTooSoon(r *relay.Request) bool {
+// refuseForStop returns the result and true if the end of the process may cut the request at the target.
+func (g *Guard) refuseForStop(r *relay.Request) (relay.Result, bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.stopAt.IsZero() && time.Until(g.stopAt) < min(stopObjectives*r.Objective, r.Remaining(), g.stopAt.Sub(g.stopBegan)/2)
+	stop := g.stop
+	g.mu.Unlock()
+	now := time.Now()
+	if stop.MaySend(now, r.Deadline.Add(endMargin)) {
+		return relay.Result{}, false
+	}
+	result := relay.NotRun(outcome.ReasonStopping)
+	result.Detail = fmt.Sprintf("%v left for the request, %v until the process ends", r.Deadline.Sub(now), stop.End.Sub(now))
+	return result, true
 }
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/auburnrelay/auburnrelay/core/outcome"
 	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/core/routing"
+	"github.com/auburnrelay/auburnrelay/core/shutdown"
 	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
 	"github.com/auburnrelay/auburnrelay/node/telemetry"
@@ -67,6 +68,21 @@
 	// hedger is nil if no request is sent a second time because of a slow answer.
 	hedger *hedge.Hedger
 	asking asking
+	stop   shutdown.Period
+}
+
+// Stop tells the dispatcher that the process shuts down.
+func (d *Dispatcher) Stop(p shutdown.Period) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stop = p
+}
+
+// mayAccept reports whether the request may still be sent, as far as the end of the process allows.
+func (d *Dispatcher) mayAccept(r *relay.Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stop.MayAccept(time.Now(), r.Deadline.Add(deadlineMargin))
 }
 
 // NewDispatcher returns a dispatcher with a full retry budget and no load measurements of targets.
@@ -117,6 +133,9 @@
 func (d *Dispatcher) sendUntilFinal(ctx context.Context, r *relay.Request, route *routing.Route) relay.Result {
 	state := &dispatchState{Dispatcher: d, request: r, route: route, holdUntil: time.Now().Add(time.Duration(holdFraction * float64(r.Remaining())))}
 	for {
+		if !d.mayAccept(r) {
+			return state.finalResult(relay.NotRun(outcome.ReasonStopping))
+		}
 		result := state.sendOnce(ctx)
 		if result.Reached {
 			state.sends++
--- a/node/sidecar/stop.go
+++ b/node/sidecar/stop.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburnrelay/auburnrelay/core/shutdown"
 	"github.com/auburnrelay/auburnrelay/platform"
 )
 
@@ -57,7 +58,9 @@
 	ctx, cancel := context.WithTimeout(ctx, max(readinessGrace, d.settings.Bounds.StopSeconds.Duration()-killMargin))
 	defer cancel()
 	if end, ok := ctx.Deadline(); ok {
-		d.guard.StopAt(end)
+		period := shutdown.Period{Began: began, End: end}
+		d.guard.Stop(period)
+		d.dispatcher.Stop(period)
 	}
 	timer := time.NewTimer(readinessGrace)
 	defer timer.Stop()
--- a/standin/sidecar/sidecar_test.go
+++ b/standin/sidecar/sidecar_test.go
@@ -11,9 +11,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/auburnrelay/auburnrelay/node/sidecar"
 	"github.com/auburnrelay/auburnrelay/platform/body"
 	"github.com/auburnrelay/auburnrelay/platform/objectstore"
@@ -79,18 +82,27 @@
 	done     chan error
 }
 
-// run starts the node's daemon.
+// run is start for addresses that the node must get.
 func (n *node) run(t *testing.T) {
+	t.Helper()
+	if err := n.start(t); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start starts the node's daemon.
+func (n *node) start(t *testing.T) error {
 	t.Helper()
 	daemon, err := sidecar.New(n.settings, io.Discard)
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	n.daemon, n.kill, n.done = daemon, cancel, done
 	go func() { done <- daemon.Run(ctx) }()
 	t.Cleanup(cancel)
+	return nil
 }
 
 // restart ends the node's daemon without a graceful stop and starts another one. The target keeps running.
@@ -172,23 +184,38 @@
 // addNodeWith is addNode with changes to the node's settings.
 func (s *deployment) addNodeWith(name, service string, change func(*sidecar.Settings)) {
 	s.t.Helper()
-	addresses := freeAddresses(s.t, 5)
-	text := fmt.Sprintf(s.settings, name, service, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], s.storeURL)
-	settings, err := sidecar.ParseSettings([]byte(text))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	change(settings)
-	n := &node{name: name, settings: settings, callers: addresses[0], ready: addresses[3]}
-	n.run(s.t)
+	n := s.startNode(name, service, change)
+	addresses := n.settings.Listen
 	n.target = &target{
-		t: s.t, id: "i-" + name, service: service, keyed: service == "k", controlAddress: addresses[2], address: "127.0.0.1:0",
+		t: s.t, id: "i-" + name, service: service, keyed: service == "k", controlAddress: addresses.Target, address: "127.0.0.1:0",
 		workTime: 5 * time.Millisecond, recorder: s.recorder,
 	}
 	n.target.start()
 	s.nodes = append(s.nodes, n)
 }
 
+// startNode starts a node at free addresses. It tries others if another process or connection has taken one of them
+// before the node listens.
+func (s *deployment) startNode(name, service string, change func(*sidecar.Settings)) *node {
+	s.t.Helper()
+	for {
+		a := freeAddresses(s.t, 5)
+		settings, err := sidecar.ParseSettings(fmt.Appendf(nil, s.settings, name, service, a[0], a[1], a[2], a[3], a[4], s.storeURL))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		change(settings)
+		n := &node{name: name, settings: settings, callers: a[0], ready: a[3]}
+		err = n.start(s.t)
+		if err == nil {
+			return n
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			s.t.Fatal(err)
+		}
+	}
+}
+
 // send sends one request to a node and returns the response's status and body. A failed request
 // returns status 0 and the text of the error. A negative key sends no X-Shard-Key header.
 func (s *deployment) send(n *node, method, path string, key int) (int, string) {
--- a/standin/sidecar/target_test.go
+++ b/standin/sidecar/target_test.go
@@ -39,8 +39,10 @@
 	controlAddress string
 	address        string
 	workTime       time.Duration
-	recorder       *recorder
-	born           int64
+	// work, if set, answers a request that the target runs instead of serve.
+	work     http.HandlerFunc
+	recorder *recorder
+	born     int64
 
 	listener net.Listener
 	server   *http.Server
@@ -396,6 +398,10 @@
 		x.recorder.addViolation("request %s lacks X-Caller-Service or X-Timeout-Ms", id)
 	}
 	x.recorder.mu.Unlock()
+	if x.work != nil {
+		x.work(w, r)
+		return
+	}
 	select {
 	case <-time.After(x.workTime):
 	case <-r.Context().Done():
