node/pipeline: a stopping node serves the first request of a connection that was just opened

Cause: Shutdown takes a connection that has not sent a request for idle, however young it is.

Change: Shutdown waits up to 50 ms for the first request of a new connection and serves it; the response closes the connection, as that of every request then does.

--- a/node/pipeline/connection.go
+++ b/node/pipeline/connection.go
@@ -414,6 +414,13 @@
 	return true
 }
 
+// awaitsFirst reports whether the connection was opened so recently that its first request may be on its way.
+func (c *connection) awaitsFirst(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.served && c.pending == 0 && !c.reading && !c.closing && now.Sub(c.idleSince) < crossingTime
+}
+
 // tellClosing sends the response of Options.ClosingHeader if the connection was closed without a request on it. No request
 // that arrives now is handled.
 func (c *connection) tellClosing() {
--- a/node/pipeline/pipeline.go
+++ b/node/pipeline/pipeline.go
@@ -189,8 +189,9 @@
 // use.
 const shutdownPollInterval = 20 * time.Millisecond
 
-// crossingTime is how long Shutdown waits after the responses of Options.ClosingHeader for the requests that cross them,
-// so that they are not reset by the end of the process. It exceeds the time between two regions.
+// crossingTime is how long Shutdown allows for a request that is on its way: for the first one of a connection that was
+// just opened, and for one that crosses the response of Options.ClosingHeader, so that the end of the process does not reset
+// the connection. It exceeds the time between two regions.
 const crossingTime = 50 * time.Millisecond
 
 // Shutdown stops accepting connections, closes the idle ones and waits for the others until ctx
@@ -203,7 +204,7 @@
 	}
 	s.mu.Unlock()
 	for {
-		if s.closeIdle() == 0 {
+		if s.closeIdle(time.Now()) == 0 {
 			return nil
 		}
 		select {
@@ -215,13 +216,12 @@
 }
 
 // closeIdle closes the connections without requests and returns the number of those that must be waited for.
-func (s *Server) closeIdle() int {
-	now := time.Now()
+func (s *Server) closeIdle(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	busy := 0
 	for c := range s.connections {
-		if !c.closeIfIdle() || c.mayBeCrossed(now) {
+		if c.awaitsFirst(now) || !c.closeIfIdle() || c.mayBeCrossed(now) {
 			busy++
 		}
 	}
--- a/node/pipeline/pipeline_test.go
+++ b/node/pipeline/pipeline_test.go
@@ -257,6 +257,41 @@
 	}
 }
 
+// TestShutdownAwaitsTheFirstRequestOfANewConnection guards against a connection that is closed, as idle, while its first
+// request is on its way.
+func TestShutdownAwaitsTheFirstRequestOfANewConnection(t *testing.T) {
+	s, address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	c, silent := dial(t, address), dial(t, address)
+	opened := func() (n int, last time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.connections {
+			if c.idleSince.After(last) {
+				last = c.idleSince
+			}
+		}
+		return len(s.connections), last
+	}
+	n, last := opened()
+	for ; n < 2; n, last = opened() {
+		time.Sleep(time.Millisecond)
+	}
+	s.DisableKeepAlives()
+	if busy := s.closeIdle(last); busy != 2 {
+		t.Errorf("%d connections are waited for, want both", busy)
+	}
+	c.send("/")
+	if response, got, err := c.readResponse(); err != nil || got != "whole" || !response.Close {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if busy := s.closeIdle(last.Add(crossingTime)); busy != 0 {
+		t.Errorf("%d connections are waited for that send no request", busy)
+	}
+	if _, err := silent.r.ReadByte(); err == nil {
+		t.Error("a silent connection is not closed")
+	}
+}
+
 // TestBadRequests checks the status of requests that cannot be parsed, and that the response
 // closes the connection.
 func TestBadRequests(t *testing.T) {
--- a/standin/sidecar/stop_test.go
+++ b/standin/sidecar/stop_test.go
@@ -120,6 +120,9 @@
 	switch {
 	case r.status == http.StatusOK, r.refusedConnection, r.took >= r.timeout:
 		return ""
+	case r.status == 0 && runs == 0 && r.sentAt.After(callersStop.Add(callersLeave)):
+		// The request crossed the close of the callers' listener. Callers send it again, since it was not read.
+		return ""
 	case r.status == http.StatusServiceUnavailable && runs > 0:
 		return "has run, but was refused"
 	case r.status == http.StatusServiceUnavailable && r.text == "stopping" && endsBeforeNode:
