node/ingress: a refusal of a stopping node is not waited for

A request for a key whose owner refused it because it stops was sent there again every 25 ms, for 15 percent of its time: the owner stays the same until its process ends, and it refuses by the deadline, which does not move. The caller now gets the refusal at once, with the time after which to come back. A request of a shared service goes to the next target at once instead of after 25 ms.

--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -180,7 +180,7 @@
 	case result.Reached:
 		return s.hasUntriedTarget() && s.spendRetry(route)
 	case result.Reason == outcome.ReasonShed || result.Reason == outcome.ReasonTargetLimit || result.Reason == outcome.ReasonTargetUnhealthy ||
-		result.Reason == outcome.ReasonMemory ||
+		result.Reason == outcome.ReasonMemory || result.Reason == outcome.ReasonStopping ||
 		result.Reason == outcome.ReasonEvacuated && !s.request.Keyed:
 		return s.hasUntriedTarget()
 	case result.Retryable() && time.Now().Before(s.holdUntil):
--- a/node/ingress/stop_test.go
+++ b/node/ingress/stop_test.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/auburnrelay/auburnrelay/core/outcome"
+	"github.com/auburnrelay/auburnrelay/core/retry"
 	"github.com/auburnrelay/auburnrelay/core/shutdown"
+	"github.com/auburnrelay/auburnrelay/node/ownership"
 	"github.com/auburnrelay/auburnrelay/node/relay"
+	"github.com/auburnrelay/auburnrelay/node/telemetry"
 )
 
 // TestStoppingNodeSendsNoLateRequestThatItWouldCut guards against requests of callers that are sent on late in a stop and
@@ -52,3 +58,37 @@
 		t.Errorf("status %d, sent %d times", status, sends)
 	}
 }
+
+// TestRefusalOfAStoppingNodeIsNotWaitedFor guards against a request that is sent again and again to a node that stops and
+// takes it no more: the owner of its key stays the same until then. One of a shared service goes to the next target at once.
+func TestRefusalOfAStoppingNodeIsNotWaitedFor(t *testing.T) {
+	for path, want := range map[string][]string{"/keyed/1": {"vm-1"}, "/any/1": {"vm-1", "vm-2"}} {
+		var sent []string
+		d := NewDispatcher(Dependencies{
+			View: func() *ownership.View {
+				targets := []ownership.Destination{
+					{Node: "vm-1", Target: "i-1", Region: "r", Slots: 4, Local: true, Ready: true},
+					{Node: "vm-2", Target: "i-2", Region: "other", Slots: 4, Ready: true},
+				}
+				return ownership.NewView(map[string][]ownership.Destination{"s": targets}).WithOwner("k", targets[0])
+			},
+			Local: func(context.Context, *relay.Request) relay.Result {
+				sent = append(sent, "vm-1")
+				return relay.NotRun(outcome.ReasonStopping)
+			},
+			Peers: senderFunc(func(*relay.Request) relay.Result {
+				sent = append(sent, "vm-2")
+				return answeredResult(http.StatusOK)
+			}),
+			Retry: retry.Bound{Ratio: 1, Slack: 14}, Region: "r", Log: discardLog(), Metrics: telemetry.NewMetrics(prometheus.NewRegistry()),
+		})
+		h := NewHandler(idCodec{}, fixedConfig{config(), true}, d, "own")
+		status, header := serve(h, path, "")
+		if !slices.Equal(sent, want) {
+			t.Errorf("%s: sent to %v, want %v", path, sent, want)
+		}
+		if refused := len(want) == 1; refused != (status == http.StatusServiceUnavailable) || refused != (header.Get("Retry-After") != "") {
+			t.Errorf("%s: status %d, Retry-After %q", path, status, header.Get("Retry-After"))
+		}
+	}
+}
