node: a stop waits for requests in flight until the drain timeout ends

What callers saw: the node of `auburnrelay node` to which they had sent long requests was stopped, and their connections ended without an answer (EOF) 5 s after its keys had been handed over, while targets of other nodes were at work on them.

Cause: the listeners for callers and for other nodes waited for requests in flight for a fixed 5 s, although deadlines may be as long as limits.max_deadline (10 minutes) and the stop may last until timing.drain_timeout (10 minutes) by docs/OPERATIONS.md.

Change: both listeners wait for the rest of the drain timeout, and 5 s at least. The other listeners keep 5 s.

The wait for requests of other nodes has no run of its own.

--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,9 @@
 	targetServer *http.Server
 	peerServer   *grpc.Server
 	listeners    listeners
+	// drainBy is when a graceful stop ends its wait for requests in flight; zero before a stop. It is set by the actor that
+	// awaits signals and read once that actor has returned.
+	drainBy time.Time
 }
 
 // Stores holds two clients of the object store. Direct is for the control component: it makes one
--- a/node/run.go
+++ b/node/run.go
@@ -17,8 +17,8 @@
 // ErrForced reports that a second signal ended a graceful stop early.
 var ErrForced = errors.New("graceful stop interrupted by a second signal")
 
-// shutdownTimeout is the timeout for closing connections and for the last report of the account
-// after the keys were handed over.
+// shutdownTimeout is the timeout for closing the connections of targets and operators and for the last report of the
+// account, after the keys were handed over. Requests in flight are waited for until the node's drain timeout ends.
 const shutdownTimeout = 5 * time.Second
 
 // callerCloseDelay is the minimum time between asking callers to close their connections and
@@ -31,18 +31,18 @@
 func (n *Node) Run(ctx context.Context) error {
 	var group run.Group
 	group.Add(n.signalActor(ctx))
-	group.Add(httpActor(n.entryServer, n.listeners.entry))
+	group.Add(httpActor(n.entryServer, n.listeners.entry, n.drainLeft))
 	group.Add(n.ledgerActor())
 	// Actors are interrupted in this order. The control component ends its leases before the peer
 	// listener closes, because other nodes take a refused connection as proof that this node
 	// holds no lease any more.
 	group.Add(awaitedActor(n.control.Run))
-	group.Add(grpcActor(n.peerServer, n.listeners.peer))
+	group.Add(grpcActor(n.peerServer, n.listeners.peer, n.drainLeft))
 	for _, loop := range []func(context.Context) error{n.owner.Run, n.targetLink.Run, n.distributor.Run} {
 		group.Add(cancelledActor(loop))
 	}
-	group.Add(httpActor(n.targetServer, n.listeners.target))
-	group.Add(httpActor(n.adminServer, n.listeners.admin))
+	group.Add(httpActor(n.targetServer, n.listeners.target, closeTime))
+	group.Add(httpActor(n.adminServer, n.listeners.admin, closeTime))
 	n.log.Info("node started", "name", n.settings.Node.Name, "cell", n.settings.Node.Cell,
 		"incarnation", n.control.Self().Incarnation, "entry", n.settings.Listen.Entry, "peer", n.settings.Listen.Peer)
 	err := group.Run()
@@ -73,6 +73,7 @@
 		}
 		n.entryHandler.CloseConnections()
 		began := time.Now()
+		n.drainBy = began.Add(n.settings.Timing.DrainTimeout.Std())
 		err := n.leave(ctx, signals)
 		if errors.Is(err, errStopped) {
 			time.Sleep(callerCloseDelay - time.Since(began))
@@ -104,15 +105,22 @@
 	}
 }
 
-// httpActor returns an actor that serves HTTP on the listener until it is interrupted.
-func httpActor(server *http.Server, listener net.Listener) (func() error, func(error)) {
+// drainLeft returns how long requests in flight are waited for: the rest of the drain timeout after a signal to stop, and
+// shutdownTimeout at least.
+func (n *Node) drainLeft() time.Duration { return max(shutdownTimeout, time.Until(n.drainBy)) }
+
+func closeTime() time.Duration { return shutdownTimeout }
+
+// httpActor returns an actor that serves HTTP on the listener until it is interrupted. It then waits for requests in
+// flight for at most the time that wait returns.
+func httpActor(server *http.Server, listener net.Listener, wait func() time.Duration) (func() error, func(error)) {
 	execute := func() error { return server.Serve(listener) }
 	interrupt := func(cause error) {
 		if errors.Is(cause, ErrForced) {
 			_ = server.Close()
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), wait())
 		defer cancel()
 		if server.Shutdown(ctx) != nil {
 			_ = server.Close()
@@ -137,15 +145,16 @@
 	return execute, interrupt
 }
 
-// grpcActor returns an actor that serves gRPC on the listener until it is interrupted.
-func grpcActor(server *grpc.Server, listener net.Listener) (func() error, func(error)) {
+// grpcActor returns an actor that serves gRPC on the listener until it is interrupted. It then waits for calls in flight
+// for at most the time that wait returns.
+func grpcActor(server *grpc.Server, listener net.Listener, wait func() time.Duration) (func() error, func(error)) {
 	execute := func() error { return server.Serve(listener) }
 	interrupt := func(cause error) {
 		if errors.Is(cause, ErrForced) {
 			server.Stop()
 			return
 		}
-		timer := time.AfterFunc(shutdownTimeout, server.Stop)
+		timer := time.AfterFunc(wait(), server.Stop)
 		defer timer.Stop()
 		server.GracefulStop()
 	}
--- a/standin/faults/operators_test.go
+++ b/standin/faults/operators_test.go
@@ -207,6 +207,46 @@
 	return resp.Header.Get("Auburnrelay-Outcome")
 }
 
+// TestStopFinishesLongRequestsOfCallers guards against a node that stops and cuts the long requests of its callers, which
+// run at the targets of other nodes, although it has time for them (timing.drain_timeout).
+func TestStopFinishesLongRequestsOfCallers(t *testing.T) {
+	s := newScenario(t, func(o *Options) { o.TargetArgs = []string{"--work", "default=5ms,repair=14s"} })
+	vm := plainVM(t, s)[0]
+	var elsewhere []string
+	for _, other := range s.Fleet.VMs {
+		if other.Name != vm {
+			elsewhere = append(elsewhere, s.Probe.KeysAnsweredBy(other.Name)...)
+		}
+	}
+	if len(elsewhere) == 0 {
+		t.Fatalf("all keys are served by %s", vm)
+	}
+	const requests = 3
+	outcomes := make(chan string, requests)
+	for i := range requests {
+		go func() { outcomes <- s.sendRepair(vm, elsewhere[i*len(elsewhere)/requests]) }()
+	}
+	must(t, fleet.Await(10*time.Second, func() bool {
+		running := 0
+		for _, other := range s.Fleet.VMs {
+			entries, err := readLog(s.Fleet.ExecutionLog(other.Name))
+			must(t, err)
+			for _, e := range entries {
+				if e.Phase == execlog.Start && e.Subpath == "repair" {
+					running++
+				}
+			}
+		}
+		return running == requests
+	}))
+	must(t, s.Fleet.Nodes[vm].Stop(45*time.Second))
+	for range requests {
+		if got := <-outcomes; got != "answered" {
+			t.Errorf("outcome of a long request: %q, want answered", got)
+		}
+	}
+}
+
 // TestFailureDomainStop makes a planned stop of one of the cell's two failure domains, which contains the
 // controller or the standby, and then ends the domain's VMs as an operator would. No outcome may be
 // unknown, and a planned stop of the other domain must be refused meanwhile.
