--- a/node/guard/guard.go
+++ b/node/guard/guard.go
@@ -90,7 +90,8 @@
 	// reports is set if answers carry load reports.
 	reports bool
 	health  health
-	stop    shutdown.Period
+	// stop is the shutdown of the process; zero before it begins.
+	stop shutdown.Period
 }
 
 // New returns a Guard for the gate's local target, which keeps the limits of cold targets.
--- a/node/ingress/dispatch.go
+++ b/node/ingress/dispatch.go
@@ -68,7 +68,8 @@
 	// hedger is nil if no request is sent a second time because of a slow answer.
 	hedger *hedge.Hedger
 	asking asking
-	stop   shutdown.Period
+	// stop is the shutdown of the process; zero before it begins.
+	stop shutdown.Period
 }
 
 // Stop tells the dispatcher that the process shuts down.
