--- a/standin/sidecar/stop_test.go
+++ b/standin/sidecar/stop_test.go
@@ -65,13 +65,18 @@
 	}
 }
 
+// keepingClient keeps its connections to all nodes until they close them.
+var keepingClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
+
 // stopRequest is a request in the test of stops, and what became of it.
 type stopRequest struct {
 	id, method, path string
 	key, bodyBytes   int
 	timeout, work    time.Duration
-	sentAt           time.Time
-	took             time.Duration
+	// keeps is set if the connection is kept for further requests.
+	keeps  bool
+	sentAt time.Time
+	took   time.Duration
 	// node is the node to which the request was sent.
 	node *node
 	// status is zero if there was no complete answer; text is the answer or the error.
@@ -88,14 +93,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.timeout+2*time.Second)
 	defer cancel()
 	request, _ := http.NewRequestWithContext(ctx, r.method, "http://"+n.callers+r.path, strings.NewReader(strings.Repeat("x", r.bodyBytes)))
-	request.Host, request.Close = "a.example", true
+	request.Host, request.Close = "a.example", !r.keeps
 	request.Header.Set("X-Attempt-Id", r.id)
 	request.Header.Set("X-Timeout-Ms", strconv.FormatInt(r.timeout.Milliseconds(), 10))
 	request.Header.Set(workHeader, strconv.FormatInt(r.work.Milliseconds(), 10))
 	if r.key >= 0 {
 		request.Header.Set("X-Shard-Key", strconv.Itoa(r.key))
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := keepingClient.Do(request)
 	if err != nil {
 		r.text, r.refusedConnection = err.Error(), errors.Is(err, syscall.ECONNREFUSED)
 		return
@@ -169,6 +174,7 @@
 		{method: http.MethodGet, path: "/read/streamed", key: -1},
 	}
 	r := kinds[s.random.IntN(len(kinds))]
+	r.keeps = s.random.IntN(2) == 0
 	r.work = time.Duration(s.random.Int64N(int64(s.longestWork)))
 	shortest := r.work + deadlineReserve
 	r.timeout = shortest + time.Duration(s.random.Int64N(int64(4*time.Second-shortest)))
